--- /dev/null
+++ b/core/include/figlug/core/action.h
@@ -0,0 +1,125 @@
+#ifndef FIGLUG_CORE_ACTION_H_
+#define FIGLUG_CORE_ACTION_H_
+
+#include <concepts>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "figlug/core/endpoint.h"
+#include "figlug/core/ids.h"
+#include "figlug/core/messages.h"
+#include "figlug/core/outcome.h"
+#include "figlug/core/record.h"
+#include "figlug/core/request_id.h"
+#include "figlug/core/time.h"
+
+namespace figlug::core {
+
+/// \brief Send a datagram; it may be lost.
+struct SendDatagram {
+  Endpoint m_to;
+  Datagram m_datagram;
+};
+
+/// \brief Send a message over the connection to a member.
+struct SendPeerMessage {
+  Endpoint m_to;
+  PeerMessage m_message;
+};
+
+/// \brief Append a record; repeat with the same id until it is known.
+struct AppendRecord {
+  AppendId m_id{0};
+  Record m_record;
+};
+
+/// \brief What a gate must know of an attempt.
+struct AttemptHead {
+  std::string m_service;
+  SliceIndex m_slice = 0;
+  RequestId m_request_id;
+  /// Whether the caller named the id, so that copies may exist.
+  bool m_has_caller_id = false;
+  /// Time left to the deadline when the head was sent.
+  Duration m_time_left{};
+};
+
+/// \brief Send a call to the gate of a member, which may be this one.
+struct SendAttempt {
+  CallId m_call{0};
+  AttemptId m_attempt{0};
+  MemberId m_member = kNoMember;
+  Endpoint m_to;
+  AttemptHead m_head;
+};
+
+/// \brief Tell a gate that nobody waits for an attempt any more.
+struct CancelAttempt {
+  AttemptId m_attempt{0};
+  MemberId m_member = kNoMember;
+  Endpoint m_to;
+};
+
+/// \brief Proof to the target that this gate owns the slice.
+struct Fence {
+  std::string m_service;
+  SliceIndex m_slice = 0;
+  Offset m_epoch = 0;
+};
+
+/// \brief Send work to the target now.
+struct DispatchWork {
+  WorkId m_work{0};
+  Fence m_fence;
+  Duration m_time_left{};
+};
+
+/// \brief Stop work at the target.
+struct CancelWork {
+  WorkId m_work{0};
+};
+
+/// \brief Report the end of an attempt to its ingress.
+struct FinishAttempt {
+  WorkId m_work{0};
+  Outcome m_outcome = Outcome::kNotRun;
+  Reason m_reason = Reason::kNone;
+};
+
+/// \brief Answer the caller.
+struct FinishCall {
+  CallId m_call{0};
+  Outcome m_outcome = Outcome::kNotRun;
+  Reason m_reason = Reason::kNone;
+  /// Attempt whose answer is passed on when the outcome is kAnswered.
+  AttemptId m_attempt{0};
+};
+
+/// \brief This member was removed: it needs a new id and a new join.
+struct IdentityLost {};
+
+/// \brief This member has let go of everything and may stop.
+struct ReadyToStop {};
+
+using Action = std::variant<SendDatagram,
+                            SendPeerMessage,
+                            AppendRecord,
+                            SendAttempt,
+                            CancelAttempt,
+                            DispatchWork,
+                            CancelWork,
+                            FinishAttempt,
+                            FinishCall,
+                            IdentityLost,
+                            ReadyToStop>;
+
+using Actions = std::vector<Action>;
+
+/// \brief Whatever carries out actions.
+template <class T>
+concept ActionSink = std::invocable<T&, Action&&>;
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_ACTION_H_
--- /dev/null
+++ b/core/include/figlug/core/fwd.h
@@ -0,0 +1,49 @@
+#ifndef FIGLUG_CORE_FWD_H_
+#define FIGLUG_CORE_FWD_H_
+
+#include <cstdint>
+
+/// \file
+/// \brief Forward declarations: the map of the core package.
+
+/// \brief Every decision of the router, without input, output or clock.
+namespace figlug::core {
+
+// Identities: ids.h
+enum class MemberId : std::uint64_t;
+enum class CallId : std::uint64_t;
+enum class AttemptId : std::uint64_t;
+enum class WorkId : std::uint64_t;
+enum class AppendId : std::uint64_t;
+
+// Records of the log and the state folded from them.
+struct Endpoint;     // endpoint.h
+struct MemberInfo;   // member_info.h
+struct Profile;      // profile.h
+struct LogEntry;     // record.h
+struct Member;       // control_state.h
+struct Slice;        // control_state.h
+struct Service;      // control_state.h
+class ControlState;  // control_state.h
+
+// Leases.
+struct LeaseTiming;  // lease_timing.h
+class LeaseHolder;   // lease_holder.h
+class LeaseWatcher;  // lease_watcher.h
+
+// Admission beside one target.
+class ConcurrencyLimit;  // concurrency_limit.h
+class RequestIdFilter;   // request_id_filter.h
+class Gate;              // gate.h
+
+// Routing of a caller's request.
+class LatencyWindow;  // latency_window.h
+class TokenBudget;    // token_budget.h
+class Ingress;        // ingress.h
+
+// One process: the front of the core.
+class Node;  // node.h
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_FWD_H_
--- /dev/null
+++ b/core/include/figlug/core/gate.h
@@ -0,0 +1,102 @@
+#ifndef FIGLUG_CORE_GATE_H_
+#define FIGLUG_CORE_GATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "figlug/core/action.h"
+#include "figlug/core/concurrency_limit.h"
+#include "figlug/core/ids.h"
+#include "figlug/core/outcome.h"
+#include "figlug/core/ownership.h"
+#include "figlug/core/profile.h"
+#include "figlug/core/time.h"
+
+namespace figlug::core {
+
+/// \brief What the gate's decisions depend on besides its own work.
+struct GateView {
+  const Profile& m_profile;
+  Ownership& m_ownership;
+  /// kNone when the gate may admit work at all.
+  Reason m_closed = Reason::kNone;
+};
+
+/// \brief How work ended at the target.
+struct TargetResult {
+  Outcome m_outcome = Outcome::kAnswered;
+  Reason m_reason = Reason::kNone;
+};
+
+/// \brief Admission of work to the one target beside this process.
+///
+/// \code
+/// gate.Admit(now, work, head, view, actions);
+/// gate.OnTargetResult(now, work, result, view, actions);
+/// \endcode
+class Gate {
+ public:
+  void Admit(Time now,
+             WorkId work,
+             const AttemptHead& head,
+             const GateView& view,
+             Actions& out);
+  void OnTargetResult(Time now,
+                      WorkId work,
+                      const TargetResult& result,
+                      const GateView& view,
+                      Actions& out);
+  /// \brief The ingress no longer waits for this work.
+  void Cancel(Time now, WorkId work, const GateView& view, Actions& out);
+  /// \brief Takes up changes of ownership, lease or profile.
+  void Refresh(Time now, const GateView& view, Actions& out);
+  /// \brief The target was restarted or lost its caches.
+  void OnTargetCold() noexcept { m_limit.Reset(); }
+
+  /// \brief Tells whether work of a slice may still run at the target.
+  [[nodiscard]] bool IsBusy(Time now, SliceIndex slice) const;
+  [[nodiscard]] bool IsIdle() const noexcept { return m_work.empty(); }
+  [[nodiscard]] std::uint32_t running() const noexcept { return m_running; }
+  [[nodiscard]] std::size_t queued() const noexcept { return m_queue.size(); }
+  [[nodiscard]] std::uint32_t limit() const noexcept { return m_limit.value(); }
+  [[nodiscard]] Time NextDeadline() const noexcept;
+
+ private:
+  struct Work {
+    AttemptHead m_head;
+    bool m_running = false;
+    Time m_deadline{};
+    Time m_queued_until{};
+    Time m_dispatched_at{};
+  };
+
+  [[nodiscard]] Reason Check(Time now,
+                             const Work& work,
+                             const GateView& view) const;
+  [[nodiscard]] bool IsHeld(Time now,
+                            const Work& work,
+                            const GateView& view) const;
+  void Dispatch(Time now,
+                WorkId id,
+                Work& work,
+                const GateView& view,
+                Actions& out);
+  void Refuse(WorkId id, Reason reason, const GateView& view, Actions& out);
+  void Pump(Time now, const GateView& view, Actions& out);
+  void Linger(const Work& work);
+
+  std::unordered_map<WorkId, Work> m_work;
+  std::deque<WorkId> m_queue;
+  std::uint32_t m_running = 0;
+  std::map<SliceIndex, std::uint32_t> m_running_by_slice;
+  /// Slices whose abandoned work may still run, until its deadline.
+  std::map<SliceIndex, Time> m_lingering;
+  ConcurrencyLimit m_limit{LimitBounds{}};
+};
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_GATE_H_
--- /dev/null
+++ b/core/include/figlug/core/ids.h
@@ -0,0 +1,34 @@
+#ifndef FIGLUG_CORE_IDS_H_
+#define FIGLUG_CORE_IDS_H_
+
+#include <cstdint>
+
+namespace figlug::core {
+
+/// \brief One incarnation of a figlugd process; random, never used again.
+enum class MemberId : std::uint64_t {};
+/// \brief One caller's request at one ingress; unique within a process.
+enum class CallId : std::uint64_t {};
+/// \brief One try of a call at one member; unique within the ingress.
+enum class AttemptId : std::uint64_t {};
+/// \brief One admitted or queued attempt at a gate; unique within a process.
+enum class WorkId : std::uint64_t {};
+/// \brief Idempotency key of one append; random.
+enum class AppendId : std::uint64_t {};
+
+/// \brief Position of a record in the log; also the fencing token.
+using Offset = std::uint64_t;
+/// \brief Number of a member's watcher set, from 1.
+using Generation = std::uint32_t;
+/// \brief Number of a slice within its service.
+using SliceIndex = std::uint32_t;
+
+/// \brief The absent member.
+inline constexpr MemberId kNoMember{0};
+
+/// \brief Slices a service's key space is divided into.
+inline constexpr SliceIndex kSlicesPerService = 1024;
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_IDS_H_
--- /dev/null
+++ b/core/include/figlug/core/ingress.h
@@ -0,0 +1,184 @@
+#ifndef FIGLUG_CORE_INGRESS_H_
+#define FIGLUG_CORE_INGRESS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "figlug/core/action.h"
+#include "figlug/core/balancer.h"
+#include "figlug/core/control_state.h"
+#include "figlug/core/ids.h"
+#include "figlug/core/latency_window.h"
+#include "figlug/core/outcome.h"
+#include "figlug/core/time.h"
+#include "figlug/core/token_budget.h"
+
+namespace figlug::core {
+
+/// \brief A caller's request as far as decisions need it.
+struct CallHead {
+  std::string m_service;
+  /// Empty where the service has no keys.
+  std::string m_key;
+  std::optional<RequestId> m_caller_id;
+  /// Time the caller waits; the profile's deadline when absent.
+  std::optional<Duration> m_deadline;
+};
+
+/// \brief What the ingress's decisions depend on besides its own calls.
+struct IngressView {
+  const ControlState& m_state;
+  const MemberInfo& m_self;
+};
+
+/// \brief Why an operator's request would go where it goes.
+struct Explanation {
+  std::string m_profile;
+  std::uint64_t m_profile_version = 0;
+  std::optional<SliceIndex> m_slice;
+  Offset m_epoch = 0;
+  Reason m_reason = Reason::kNone;
+  std::vector<MemberId> m_members;
+};
+
+/// \brief Routing, retries and hedges of the calls at one process.
+///
+/// \code
+/// ingress.OnCall(now, wall, call, head, view, actions);
+/// ingress.OnAttemptEnd(now, attempt, Outcome::kAnswered, Reason::kNone, view,
+///                      actions);
+/// \endcode
+class Ingress {
+ public:
+  Ingress(AnyBalancer balancer, std::uint64_t seed)
+      : m_balancer(balancer), m_random(seed) {}
+
+  /// \brief Refuses a call by its head alone, before its body is read.
+  [[nodiscard]] static Reason Screen(const CallHead& head,
+                                     const IngressView& view);
+  void OnCall(Time now,
+              WallTime wall,
+              CallId call,
+              const CallHead& head,
+              const IngressView& view,
+              Actions& out);
+  void OnAttemptEnd(Time now,
+                    AttemptId attempt,
+                    Outcome outcome,
+                    Reason reason,
+                    const IngressView& view,
+                    Actions& out);
+  /// \brief The caller has closed its connection.
+  void OnCallerGone(CallId call, const IngressView& view, Actions& out);
+  void OnTimer(Time now, const IngressView& view, Actions& out);
+  [[nodiscard]] Time NextDeadline() const noexcept;
+  [[nodiscard]] std::size_t open_calls() const noexcept {
+    return m_calls.size();
+  }
+
+  /// \brief Tells where a request would go and why.
+  [[nodiscard]] static Explanation Explain(const CallHead& head,
+                                           const IngressView& view);
+
+ private:
+  struct Attempt {
+    CallId m_call{0};
+    MemberId m_member = kNoMember;
+    Time m_sent_at{};
+  };
+  struct Call {
+    CallHead m_head;
+    RequestId m_request_id;
+    SliceIndex m_slice = 0;
+    Time m_started{};
+    Time m_deadline{};
+    Time m_retry_at = kNever;
+    Time m_hedge_at = kNever;
+    Time m_timer = kNever;
+    Duration m_backoff{};
+    std::uint32_t m_attempts = 0;
+    bool m_may_have_run = false;
+    Reason m_last_reason = Reason::kNone;
+    std::vector<AttemptId> m_open;
+    std::vector<MemberId> m_tried;
+  };
+  struct TargetView {
+    std::uint32_t m_outstanding = 0;
+    /// Smoothed latency, microseconds.
+    double m_latency = 0;
+    std::uint32_t m_failures = 0;
+    Time m_avoid_until{};
+  };
+  struct ServiceView {
+    TokenBudget m_retries;
+    TokenBudget m_hedges;
+    LatencyWindow m_latencies{std::chrono::seconds(2)};
+  };
+
+  void Route(Time now,
+             CallId id,
+             Call& call,
+             const IngressView& view,
+             Actions& out);
+  [[nodiscard]] const Member* Choose(Time now,
+                                     const Call& call,
+                                     const IngressView& view);
+  [[nodiscard]] const Member* ChooseAny(Time now,
+                                        const Call& call,
+                                        const IngressView& view);
+  void Send(Time now,
+            CallId id,
+            Call& call,
+            const Member& member,
+            const IngressView& view,
+            Actions& out);
+  void Observe(Time now,
+               const Attempt& attempt,
+               const Call& call,
+               Outcome outcome,
+               Reason reason);
+  void OnNotRun(Time now,
+                CallId id,
+                Call& call,
+                Reason reason,
+                const IngressView& view,
+                Actions& out);
+  void OnUnknown(Time now,
+                 CallId id,
+                 Call& call,
+                 Reason reason,
+                 const IngressView& view,
+                 Actions& out);
+  void RetryLater(Time now, CallId id, Call& call);
+  void Hedge(Time now,
+             CallId id,
+             Call& call,
+             const IngressView& view,
+             Actions& out);
+  void Finish(CallId id,
+              Outcome outcome,
+              Reason reason,
+              AttemptId answered,
+              const IngressView& view,
+              Actions& out);
+  void SetTimer(CallId id, Call& call);
+
+  AnyBalancer m_balancer;
+  Random m_random;
+  std::uint64_t m_last_attempt = 0;
+  std::unordered_map<CallId, Call> m_calls;
+  std::unordered_map<AttemptId, Attempt> m_attempts;
+  std::set<std::pair<Time, CallId>> m_timers;
+  std::unordered_map<MemberId, TargetView> m_targets;
+  std::map<std::string, ServiceView, std::less<>> m_services;
+};
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_INGRESS_H_
--- /dev/null
+++ b/core/include/figlug/core/latency_window.h
@@ -0,0 +1,48 @@
+#ifndef FIGLUG_CORE_LATENCY_WINDOW_H_
+#define FIGLUG_CORE_LATENCY_WINDOW_H_
+
+#include <array>
+#include <cstdint>
+
+#include "figlug/core/time.h"
+
+namespace figlug::core {
+
+/// \brief Quantiles of the latencies seen in the last one to two windows.
+///
+/// Buckets grow by an eighth of a power of two, so a quantile is at most 13%
+/// too high.
+///
+/// \code
+/// window.Add(now, latency);
+/// Duration p95 = window.Quantile(now, 0.95);
+/// \endcode
+class LatencyWindow {
+ public:
+  explicit LatencyWindow(Duration window) : m_window(window) {}
+
+  void Add(Time now, Duration latency);
+  /// \brief Upper bound of a quantile.
+  /// \param q 0 to 1.
+  /// \returns Zero without samples.
+  [[nodiscard]] Duration Quantile(Time now, double q);
+  [[nodiscard]] std::uint32_t count(Time now);
+
+ private:
+  static constexpr std::size_t kBuckets = 256;
+  struct Half {
+    std::array<std::uint32_t, kBuckets> m_counts{};
+    std::uint32_t m_total = 0;
+  };
+
+  void Rotate(Time now);
+
+  Duration m_window;
+  Time m_rotated_at{};
+  Half m_current;
+  Half m_previous;
+};
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_LATENCY_WINDOW_H_
--- /dev/null
+++ b/core/include/figlug/core/lease_holder.h
@@ -0,0 +1,59 @@
+#ifndef FIGLUG_CORE_LEASE_HOLDER_H_
+#define FIGLUG_CORE_LEASE_HOLDER_H_
+
+#include <map>
+#include <span>
+#include <vector>
+
+#include "figlug/core/ids.h"
+#include "figlug/core/lease_timing.h"
+#include "figlug/core/time.h"
+
+namespace figlug::core {
+
+/// \brief A member's own side of its lease.
+///
+/// The lease holds while a majority of the current watcher set, and of a
+/// proposed one, has acknowledged heartbeats that are not older than the lease.
+///
+/// \code
+/// holder.Adopt(now, 1, watchers);
+/// holder.OnAck(watcher, 1, sent_at);
+/// if (holder.IsValid(now)) Dispatch();
+/// \endcode
+class LeaseHolder {
+ public:
+  explicit LeaseHolder(const LeaseTiming& timing) : m_timing(timing) {}
+
+  /// \brief Takes the watcher set that the log has confirmed.
+  void Adopt(Time now, Generation generation, std::span<const MemberId> set);
+  /// \brief Adds a set whose record may or may not take effect.
+  void Propose(Time now, Generation generation, std::span<const MemberId> set);
+  /// \brief Counts an acknowledgement of a heartbeat sent at `sent_at`.
+  void OnAck(Time now, MemberId watcher, Generation generation, Time sent_at);
+  /// \brief Tells whether this member may admit work at `now`.
+  [[nodiscard]] bool IsValid(Time now) const noexcept;
+  /// \brief Watchers silent for longer than the timing allows.
+  [[nodiscard]] std::vector<MemberId> SilentWatchers(Time now) const;
+
+  /// \brief One watcher set with its acknowledgements.
+  struct Set {
+    Generation m_generation = 0;
+    Time m_since{};
+    /// Send time of the newest acknowledged heartbeat of each watcher.
+    std::map<MemberId, Time> m_acked;
+  };
+  /// \brief The confirmed set and, while one is proposed, a second.
+  [[nodiscard]] std::span<const Set> sets() const noexcept { return m_sets; }
+  [[nodiscard]] bool has_proposal() const noexcept { return m_sets.size() > 1; }
+
+ private:
+  [[nodiscard]] bool HasMajority(const Set& set, Time now) const noexcept;
+
+  LeaseTiming m_timing;
+  std::vector<Set> m_sets;
+};
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_LEASE_HOLDER_H_
--- /dev/null
+++ b/core/include/figlug/core/messages.h
@@ -0,0 +1,78 @@
+#ifndef FIGLUG_CORE_MESSAGES_H_
+#define FIGLUG_CORE_MESSAGES_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "figlug/core/ids.h"
+#include "figlug/core/record.h"
+#include "figlug/core/request_id_filter.h"
+#include "figlug/core/time.h"
+
+namespace figlug::core {
+
+/// \brief A member's sign of life to one of its watchers.
+struct Heartbeat {
+  MemberId m_member = kNoMember;
+  Generation m_generation = 0;
+  /// Generation proposed but not confirmed; 0 for none.
+  Generation m_proposed = 0;
+  /// The member's own clock.
+  Time m_sent_at{};
+  /// First offset the member has not folded.
+  Offset m_next = 0;
+};
+
+/// \brief A watcher's pledge not to vote for a while.
+struct HeartbeatAck {
+  MemberId m_watcher = kNoMember;
+  MemberId m_member = kNoMember;
+  Generation m_generation = 0;
+  Generation m_proposed = 0;
+  /// Send time of the acknowledged heartbeat.
+  Time m_sent_at{};
+  /// First offset the watcher has not folded.
+  Offset m_next = 0;
+};
+
+using Datagram = std::variant<Heartbeat, HeartbeatAck>;
+
+/// \brief Asks a former owner whether it has let go of slices.
+struct ReleaseQuery {
+  MemberId m_from = kNoMember;
+  std::vector<SliceIndex> m_slices;
+};
+
+/// \brief One slice that a former owner has let go of.
+struct ReleasedSlice {
+  SliceIndex m_slice = 0;
+  /// Loss of a holder that m_ids accounts for.
+  Offset m_lost_at = 0;
+  SliceIds m_ids;
+};
+
+/// \brief A former owner's word that it no longer serves slices.
+struct Release {
+  MemberId m_from = kNoMember;
+  /// Last offset folded when the slices were let go.
+  Offset m_folded = 0;
+  std::vector<ReleasedSlice> m_slices;
+};
+
+/// \brief Asks a peer for records that the log does not hand out now.
+struct RecordsQuery {
+  MemberId m_from = kNoMember;
+  Offset m_next = 0;
+};
+
+/// \brief Records as a peer has read them, in order.
+struct Records {
+  std::vector<LogEntry> m_entries;
+};
+
+using PeerMessage = std::variant<ReleaseQuery, Release, RecordsQuery, Records>;
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_MESSAGES_H_
--- /dev/null
+++ b/core/include/figlug/core/node.h
@@ -0,0 +1,274 @@
+#ifndef FIGLUG_CORE_NODE_H_
+#define FIGLUG_CORE_NODE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+#include "figlug/core/action.h"
+#include "figlug/core/control_state.h"
+#include "figlug/core/gate.h"
+#include "figlug/core/ingress.h"
+#include "figlug/core/lease_holder.h"
+#include "figlug/core/lease_watcher.h"
+#include "figlug/core/messages.h"
+#include "figlug/core/node_settings.h"
+#include "figlug/core/ownership.h"
+
+namespace figlug::core {
+
+/// \brief Both clocks of a process at one moment.
+struct Now {
+  Time m_time{};
+  WallTime m_wall{};
+};
+
+/// \brief One process's decisions: typed events in, typed actions out.
+///
+/// Same settings, events and times give the same actions.
+///
+/// \code
+/// node.OnCall(now, call, head, [&](Action&& action) { Carry(action); });
+/// \endcode
+class Node {
+ public:
+  Node(NodeSettings settings, Now now);
+
+  /// \brief Starts from a checkpoint, or from the empty state of a new log.
+  template <ActionSink Sink>
+  void OnStart(Now now, ControlState state, Sink&& sink) {
+    HandleStart(now, std::move(state));
+    Deliver(sink);
+  }
+  /// \brief The state holds all that the log holds: announce this member.
+  template <ActionSink Sink>
+  void OnCaughtUp(Now now, Sink&& sink) {
+    HandleCaughtUp(now);
+    Deliver(sink);
+  }
+  /// \brief Tells whether the target accepts connections.
+  template <ActionSink Sink>
+  void OnTargetHealth(Now now, bool is_up, Sink&& sink) {
+    HandleTargetHealth(now, is_up);
+    Deliver(sink);
+  }
+  /// \brief Records from the log or a peer; what is known or has a gap before
+  /// it is passed over.
+  template <ActionSink Sink>
+  void OnRecords(Now now, std::span<const LogEntry> entries, Sink&& sink) {
+    HandleRecords(now, entries);
+    Deliver(sink);
+  }
+  /// \brief Tells whether the log service answers.
+  void OnLogHealth(Now now, bool is_healthy);
+  /// \brief The log no longer has the next record: all state is void.
+  template <ActionSink Sink>
+  void OnLogGap(Now now, Sink&& sink) {
+    HandleLogGap(now);
+    Deliver(sink);
+  }
+  /// \brief Goes on under a new id after IdentityLost.
+  template <ActionSink Sink>
+  void OnNewIdentity(Now now, MemberId id, Sink&& sink) {
+    HandleNewIdentity(now, id);
+    Deliver(sink);
+  }
+  template <ActionSink Sink>
+  void OnDatagram(Now now, const Datagram& datagram, Sink&& sink) {
+    HandleDatagram(now, datagram);
+    Deliver(sink);
+  }
+  template <ActionSink Sink>
+  void OnPeerMessage(Now now, const PeerMessage& message, Sink&& sink) {
+    HandlePeerMessage(now, message);
+    Deliver(sink);
+  }
+  /// \brief An attempt from an ingress, which may be this process.
+  template <ActionSink Sink>
+  void OnAttempt(Now now, WorkId work, const AttemptHead& head, Sink&& sink) {
+    m_gate.Admit(now.m_time, work, head, ViewForGate(now), m_actions);
+    Deliver(sink);
+  }
+  template <ActionSink Sink>
+  void OnWorkCancelled(Now now, WorkId work, Sink&& sink) {
+    m_gate.Cancel(now.m_time, work, ViewForGate(now), m_actions);
+    Deliver(sink);
+  }
+  template <ActionSink Sink>
+  void OnTargetResult(Now now,
+                      WorkId work,
+                      const TargetResult& result,
+                      Sink&& sink) {
+    m_gate.OnTargetResult(now.m_time, work, result, ViewForGate(now),
+                          m_actions);
+    Deliver(sink);
+  }
+  template <ActionSink Sink>
+  void OnCall(Now now, CallId call, const CallHead& head, Sink&& sink) {
+    m_ingress.OnCall(now.m_time, now.m_wall, call, head, ViewForIngress(),
+                     m_actions);
+    Deliver(sink);
+  }
+  template <ActionSink Sink>
+  void OnCallerGone(Now, CallId call, Sink&& sink) {
+    m_ingress.OnCallerGone(call, ViewForIngress(), m_actions);
+    Deliver(sink);
+  }
+  /// \brief An attempt ended: its gate said so, or its connection was lost.
+  template <ActionSink Sink>
+  void OnAttemptEnd(Now now,
+                    AttemptId attempt,
+                    Outcome outcome,
+                    Reason reason,
+                    Sink&& sink) {
+    m_ingress.OnAttemptEnd(now.m_time, attempt, outcome, reason,
+                           ViewForIngress(), m_actions);
+    Deliver(sink);
+  }
+  /// \brief Begins a graceful stop; ReadyToStop ends it.
+  template <ActionSink Sink>
+  void OnStop(Now now, Sink&& sink) {
+    HandleStop(now);
+    Deliver(sink);
+  }
+  template <ActionSink Sink>
+  void OnTimer(Now now, Sink&& sink) {
+    HandleTimer(now);
+    Deliver(sink);
+  }
+  /// \brief Time at which OnTimer has something to do.
+  [[nodiscard]] Time NextDeadline() const noexcept;
+
+  /// \brief Refusal of a call by its head alone, or kNone.
+  [[nodiscard]] Reason Screen(const CallHead& head) const {
+    return Ingress::Screen(head, ViewForIngress());
+  }
+  [[nodiscard]] Explanation Explain(const CallHead& head) const {
+    return Ingress::Explain(head, ViewForIngress());
+  }
+  [[nodiscard]] const ControlState& state() const noexcept { return m_state; }
+  [[nodiscard]] const MemberInfo& self() const noexcept {
+    return m_settings.m_self;
+  }
+  [[nodiscard]] const Gate& gate() const noexcept { return m_gate; }
+  [[nodiscard]] const Ingress& ingress() const noexcept { return m_ingress; }
+  [[nodiscard]] const Ownership& ownership() const noexcept {
+    return m_ownership;
+  }
+  [[nodiscard]] bool HasLease(Time now) const noexcept {
+    return m_lease.IsValid(now);
+  }
+  /// \brief Tells whether this member is on record and may take work.
+  [[nodiscard]] bool IsServing(Time now) const;
+  /// \brief Tells whether this process admits work of a slice at `now`.
+  [[nodiscard]] bool Admits(Time now, SliceIndex slice) const;
+  [[nodiscard]] std::size_t pending_appends() const noexcept {
+    return m_appends.size();
+  }
+
+ private:
+  struct PendingAppend {
+    Record m_record;
+    Time m_next_try{};
+    Duration m_backoff{};
+  };
+  struct FoldMark {
+    Time m_time{};
+    Offset m_next = 0;
+  };
+
+  template <class Sink>
+  void Deliver(Sink& sink) {
+    Actions batch;
+    batch.swap(m_actions);
+    for (Action& action : batch) {
+      sink(std::move(action));
+    }
+  }
+
+  void HandleStart(Now now, ControlState state);
+  void HandleCaughtUp(Now now);
+  void HandleTargetHealth(Now now, bool is_up);
+  void JoinIfReady(Now now);
+  void HandleRecords(Now now, std::span<const LogEntry> entries);
+  void HandleLogGap(Now now);
+  void HandleNewIdentity(Now now, MemberId id);
+  void HandleDatagram(Now now, const Datagram& datagram);
+  void HandlePeerMessage(Now now, const PeerMessage& message);
+  void HandleStop(Now now);
+  void HandleTimer(Now now);
+
+  void On(Now now, const Heartbeat& heartbeat);
+  void On(Now now, const HeartbeatAck& ack);
+  void On(Now now, const ReleaseQuery& query);
+  void On(Now now, const Release& release);
+  void On(Now now, const RecordsQuery& query);
+  void On(Now now, const Records& records);
+
+  void Fold(Now now, const LogEntry& entry);
+  void MarkFold(Now now);
+  void AfterFold(Now now);
+  void ForgetIdentity();
+  void Append(Now now, Record record);
+  void RetryAppends(Now now);
+  void SendHeartbeats(Now now);
+  void ReviewWatchers(Now now);
+  void CastVotes(Now now);
+  void AskForReleases(Now now);
+  void GiveReleases(Now now);
+  void SendRelease(Now now, MemberId to, std::span<const SliceIndex> slices);
+  void StepWeight(Now now);
+  void WriteCheckpoint(Now now);
+  void ReviewDrain(Now now);
+  void ReviewStop(Now now);
+  [[nodiscard]] std::vector<MemberId> ChooseWatchers(
+      std::span<const MemberId> avoid) const;
+  [[nodiscard]] bool IsBehind(Now now, Offset next) const;
+  [[nodiscard]] const Member* FindSelf() const noexcept;
+  [[nodiscard]] Reason ClosedReason(Time now) const;
+  [[nodiscard]] GateView ViewForGate(Now now);
+  [[nodiscard]] IngressView ViewForIngress() const;
+
+  NodeSettings m_settings;
+  Random m_random;
+  ControlState m_state;
+  LeaseHolder m_lease;
+  LeaseWatcher m_watcher;
+  Ownership m_ownership;
+  Gate m_gate;
+  Ingress m_ingress;
+  Actions m_actions;
+
+  std::map<AppendId, PendingAppend> m_appends;
+  std::deque<LogEntry> m_recent_entries;
+  std::deque<FoldMark> m_fold_marks;
+  bool m_log_healthy = false;
+  bool m_caught_up = false;
+  bool m_target_up = false;
+  bool m_joined = false;
+  bool m_identity_lost = false;
+  Generation m_generation = 0;
+  Time m_next_heartbeat{};
+  Time m_next_review{};
+  Time m_next_release_query{};
+  Time m_next_records_query{};
+  std::optional<Time> m_behind_since;
+  Time m_last_timer{};
+  Time m_joined_at{};
+  std::uint32_t m_asked_weight = 0;
+  Offset m_checkpointed = 0;
+  Time m_checkpointed_at{};
+  std::optional<Time> m_stopping_since;
+  bool m_leaving = false;
+  bool m_stop_reported = false;
+  std::map<SliceIndex, Offset> m_logged_releases;
+};
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_NODE_H_
--- /dev/null
+++ b/core/include/figlug/core/ownership.h
@@ -0,0 +1,85 @@
+#ifndef FIGLUG_CORE_OWNERSHIP_H_
+#define FIGLUG_CORE_OWNERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+#include "figlug/core/control_state.h"
+#include "figlug/core/ids.h"
+#include "figlug/core/messages.h"
+#include "figlug/core/request_id_filter.h"
+#include "figlug/core/time.h"
+
+namespace figlug::core {
+
+/// \brief Whether this member may serve a slice.
+enum class SliceStatus : std::uint8_t {
+  kNotOwner,
+  /// Owner on record, but a former holder has not let go yet.
+  kWaiting,
+  kReady,
+};
+
+/// \brief This member's claims on the slices of its service.
+///
+/// \code
+/// ownership.OnFolded(now, wall, service, takeover_wait);
+/// if (ownership.StatusOf(now, slice) == SliceStatus::kReady) Admit();
+/// \endcode
+class Ownership {
+ public:
+  explicit Ownership(MemberId self)
+      : m_self(self), m_local(kSlicesPerService) {}
+
+  /// \brief Takes over the state after one record has been folded.
+  /// \param takeover_wait Wait before serving what a lost holder had.
+  void OnFolded(Time now,
+                WallTime wall,
+                const Service& service,
+                Duration takeover_wait);
+  [[nodiscard]] SliceStatus StatusOf(Time now, SliceIndex slice) const;
+  /// \brief Fencing token of a slice this member owns.
+  [[nodiscard]] Offset EpochOf(SliceIndex slice) const;
+  /// \brief Counts a former holder's word.
+  void OnRelease(const Release& release);
+  /// \brief Notes a request id of a slice that is ready.
+  /// \returns False when the request may have run before.
+  [[nodiscard]] bool InsertId(SliceIndex slice, const RequestId& id);
+  void RemoveId(SliceIndex slice, const RequestId& id);
+
+  /// \brief Slices lost by record for which nobody has our word yet.
+  [[nodiscard]] std::vector<SliceIndex> OwedReleases() const;
+  /// \brief Our word on a slice, with what we know of its requests.
+  [[nodiscard]] ReleasedSlice MakeRelease(SliceIndex slice) const;
+  /// \brief Former holders to ask, with the slices they hold back.
+  [[nodiscard]] std::map<MemberId, std::vector<SliceIndex>> MissingReleases()
+      const;
+  [[nodiscard]] bool IsOwner(SliceIndex slice) const;
+  [[nodiscard]] std::uint32_t owned_count() const;
+
+ private:
+  struct Local {
+    Slice m_slice;
+    /// Folded offsets that former holders have given their word for.
+    std::map<MemberId, Offset> m_released;
+    /// Loss that the id filter accounts for.
+    Offset m_covered_loss = 0;
+    WallTime m_loss_wall{};
+    Time m_ready_at{};
+  };
+
+  [[nodiscard]] bool IsPrior(const Slice& slice) const;
+  [[nodiscard]] bool HasLetGo(const Local& local,
+                              const PriorHolder& prior) const;
+  void CoverVanishedPriors(WallTime wall, SliceIndex index, const Slice& next);
+
+  MemberId m_self;
+  std::vector<Local> m_local;
+  RequestIdFilter m_ids;
+};
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_OWNERSHIP_H_
--- /dev/null
+++ b/core/include/figlug/core/request_id.h
@@ -0,0 +1,49 @@
+#ifndef FIGLUG_CORE_REQUEST_ID_H_
+#define FIGLUG_CORE_REQUEST_ID_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+#include "figlug/core/time.h"
+
+namespace figlug::core {
+
+/// \brief A UUID version 7: ordered by the time of its making.
+struct RequestId {
+  std::uint64_t m_high = 0;
+  std::uint64_t m_low = 0;
+
+  auto operator<=>(const RequestId&) const = default;
+
+  /// \brief Time of making, from the first 48 bits.
+  [[nodiscard]] WallTime made_at() const noexcept;
+};
+
+/// \brief A text that is no UUID version 7.
+struct RequestIdError {
+  /// Column of the first wrong character, from 1.
+  std::size_t m_column = 1;
+};
+
+/// \brief Reads the 36-character form of a UUID version 7.
+/// \code
+/// auto id = ParseRequestId("019384f2-7c00-7000-8000-000000000001");
+/// \endcode
+[[nodiscard]] tl::expected<RequestId, RequestIdError> ParseRequestId(
+    std::string_view text) noexcept;
+
+/// \brief Makes an id from a time and 74 random bits.
+[[nodiscard]] RequestId MakeRequestId(WallTime now,
+                                      std::uint64_t random_high,
+                                      std::uint64_t random_low) noexcept;
+
+/// \brief Writes the 36-character form.
+[[nodiscard]] std::string ToString(const RequestId& id);
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_REQUEST_ID_H_
--- /dev/null
+++ b/core/include/figlug/core/time.h
@@ -0,0 +1,32 @@
+#ifndef FIGLUG_CORE_TIME_H_
+#define FIGLUG_CORE_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace figlug::core {
+
+/// \brief Unit of every span of time in the core: microseconds.
+using Duration = std::chrono::duration<std::int64_t, std::micro>;
+
+/// \brief Tag of the monotonic time line of one process; it has no `now`.
+struct MonotonicLine {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicLine, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+/// \brief Monotonic time of one process; never compared between processes.
+using Time = MonotonicLine::time_point;
+
+/// \brief Wall-clock time in milliseconds since 1970-01-01 UTC.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+/// \brief A time after every deadline.
+inline constexpr Time kNever = Time::max();
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_TIME_H_
--- /dev/null
+++ b/core/include/figlug/core/token_budget.h
@@ -0,0 +1,39 @@
+#ifndef FIGLUG_CORE_TOKEN_BUDGET_H_
+#define FIGLUG_CORE_TOKEN_BUDGET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+namespace figlug::core {
+
+/// \brief Lets extra work be a bounded share of the first attempts.
+///
+/// \code
+/// budget.Deposit(10);         // a first attempt allows 0.10 retries
+/// if (budget.Withdraw()) Retry();
+/// \endcode
+class TokenBudget {
+ public:
+  /// \brief Adds the share that one request allows, in percent.
+  void Deposit(std::uint32_t percent) noexcept {
+    m_hundredths = std::min(m_hundredths + percent, kMostHundredths);
+  }
+  /// \brief Takes one whole token, if there is one.
+  [[nodiscard]] bool Withdraw() noexcept {
+    if (m_hundredths < kOneToken) {
+      return false;
+    }
+    m_hundredths -= kOneToken;
+    return true;
+  }
+
+ private:
+  static constexpr std::uint32_t kOneToken = 100;
+  static constexpr std::uint32_t kMostHundredths = 10 * kOneToken;
+
+  std::uint32_t m_hundredths = kOneToken;
+};
+
+}  // namespace figlug::core
+
+#endif  // FIGLUG_CORE_TOKEN_BUDGET_H_
--- /dev/null
+++ b/core/src/balancer.cc
@@ -0,0 +1,59 @@
+#include "figlug/core/balancer.h"
+
+#include <algorithm>
+
+namespace figlug::core {
+namespace {
+
+std::size_t RandomIndex(std::span<const Choice> choices, Random& random) {
+  return random() % choices.size();
+}
+
+// A target without a known latency counts as fast, so that it is tried.
+double Cost(const Choice& choice) {
+  return (choice.m_outstanding + 1.0) * (choice.m_latency + 1.0);
+}
+
+}  // namespace
+
+std::size_t TwoChoices::Pick(std::span<const Choice> choices, Random& random) {
+  const std::size_t first = RandomIndex(choices, random);
+  if (choices.size() == 1) {
+    return first;
+  }
+  const std::size_t step = 1 + random() % (choices.size() - 1);
+  const std::size_t second = (first + step) % choices.size();
+  return Cost(choices[second]) < Cost(choices[first]) ? second : first;
+}
+
+std::size_t RandomChoice::Pick(std::span<const Choice> choices,
+                               Random& random) {
+  return RandomIndex(choices, random);
+}
+
+std::size_t RoundRobin::Pick(std::span<const Choice> choices, Random&) {
+  return ++m_last % choices.size();
+}
+
+std::size_t LeastOutstanding::Pick(std::span<const Choice> choices,
+                                   Random& random) {
+  const std::size_t start = RandomIndex(choices, random);
+  std::size_t best = start;
+  for (std::size_t i = 1; i < choices.size(); ++i) {
+    const std::size_t index = (start + i) % choices.size();
+    if (choices[index].m_outstanding < choices[best].m_outstanding) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+std::size_t Pick(AnyBalancer& balancer,
+                 std::span<const Choice> choices,
+                 Random& random) {
+  return std::visit(
+      [&](Balancer auto& chosen) { return chosen.Pick(choices, random); },
+      balancer);
+}
+
+}  // namespace figlug::core
--- /dev/null
+++ b/core/src/ingress.cc
@@ -0,0 +1,385 @@
+#include "figlug/core/ingress.h"
+
+#include <algorithm>
+
+namespace figlug::core {
+namespace {
+
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(5);
+constexpr Duration kMostBackoff = std::chrono::milliseconds(80);
+constexpr Duration kLeastHedgeDelay = std::chrono::milliseconds(5);
+constexpr Duration kAvoidTime = std::chrono::milliseconds(1000);
+constexpr std::uint32_t kFailuresToAvoid = 3;
+constexpr std::uint32_t kLeastHedgeSamples = 20;
+constexpr double kHedgeQuantile = 0.95;
+constexpr double kLatencyWeight = 0.2;
+
+// Reasons that pass by themselves once ownership has settled. Nothing reached a
+// target, so trying again costs the targets nothing.
+bool IsOwnershipInMotion(Reason reason) {
+  return reason == Reason::kNotOwner || reason == Reason::kNoLease ||
+         reason == Reason::kStopping || reason == Reason::kExcluded ||
+         reason == Reason::kPeerUnreachable || reason == Reason::kNoTarget;
+}
+
+bool IsFinal(Reason reason) {
+  return reason == Reason::kDeadline || reason == Reason::kWrongRegion ||
+         reason == Reason::kCancelled;
+}
+
+// Requests without a key that may run only once are divided by their id.
+SliceIndex SliceOfCall(const Profile& profile,
+                       const CallHead& head,
+                       const RequestId& id) {
+  return SliceOf(profile.m_keyed ? head.m_key : ToString(id));
+}
+
+}  // namespace
+
+Reason Ingress::Screen(const CallHead& head, const IngressView& view) {
+  if (view.m_state.FindService(head.m_service) == nullptr) {
+    return Reason::kUnknownService;
+  }
+  const Profile& profile = view.m_state.ProfileOf(head.m_service);
+  return IsHomeRegion(profile, view.m_self.m_region) ? Reason::kNone
+                                                     : Reason::kWrongRegion;
+}
+
+void Ingress::OnCall(Time now,
+                     WallTime wall,
+                     CallId id,
+                     const CallHead& head,
+                     const IngressView& view,
+                     Actions& out) {
+  if (const Reason reason = Screen(head, view); reason != Reason::kNone) {
+    out.emplace_back(FinishCall{id, Outcome::kNotRun, reason});
+    return;
+  }
+  const Profile& profile = view.m_state.ProfileOf(head.m_service);
+  Call& call = m_calls[id];
+  call.m_head = head;
+  call.m_request_id =
+      head.m_caller_id.value_or(MakeRequestId(wall, m_random(), m_random()));
+  call.m_slice = SliceOfCall(profile, head, call.m_request_id);
+  call.m_started = now;
+  call.m_deadline = now + head.m_deadline.value_or(profile.m_deadline);
+  ServiceView& service = m_services[head.m_service];
+  service.m_retries.Deposit(profile.m_retry_percent);
+  service.m_hedges.Deposit(profile.m_hedge_percent);
+  Route(now, id, call, view, out);
+}
+
+void Ingress::Route(Time now,
+                    CallId id,
+                    Call& call,
+                    const IngressView& view,
+                    Actions& out) {
+  call.m_retry_at = kNever;
+  const Member* member = Choose(now, call, view);
+  if (member == nullptr && !call.m_tried.empty()) {
+    call.m_tried.clear();
+    member = Choose(now, call, view);
+  }
+  if (member == nullptr) {
+    call.m_last_reason = Reason::kNoTarget;
+    OnNotRun(now, id, call, Reason::kNoTarget, view, out);
+    return;
+  }
+  Send(now, id, call, *member, view, out);
+  const Profile& profile = view.m_state.ProfileOf(call.m_head.m_service);
+  if (profile.m_repeatable && !profile.m_keyed && profile.m_hedge_percent > 0 &&
+      call.m_attempts == 1) {
+    LatencyWindow& seen = m_services[call.m_head.m_service].m_latencies;
+    if (seen.count(now) >= kLeastHedgeSamples) {
+      call.m_hedge_at =
+          now + std::max(kLeastHedgeDelay, seen.Quantile(now, kHedgeQuantile));
+    }
+  }
+  SetTimer(id, call);
+}
+
+const Member* Ingress::Choose(Time now,
+                              const Call& call,
+                              const IngressView& view) {
+  const Profile& profile = view.m_state.ProfileOf(call.m_head.m_service);
+  if (!IsSliced(profile)) {
+    return ChooseAny(now, call, view);
+  }
+  const Service* service = view.m_state.FindService(call.m_head.m_service);
+  if (service == nullptr || service->m_slices.empty()) {
+    return nullptr;
+  }
+  return view.m_state.FindMember(service->m_slices[call.m_slice].m_owner);
+}
+
+// The far region is used only when nothing near is left, because the link is
+// paid by volume.
+const Member* Ingress::ChooseAny(Time now,
+                                 const Call& call,
+                                 const IngressView& view) {
+  std::vector<Choice> near;
+  std::vector<Choice> far;
+  for (const auto& [id, member] : view.m_state.members()) {
+    const TargetView& target = m_targets[id];
+    if (member.m_info.m_service != call.m_head.m_service ||
+        !view.m_state.IsEligible(member) || now < target.m_avoid_until ||
+        std::ranges::count(call.m_tried, id) > 0) {
+      continue;
+    }
+    const bool is_near = member.m_info.m_region == view.m_self.m_region;
+    (is_near ? near : far)
+        .push_back({id, target.m_outstanding, target.m_latency});
+  }
+  const std::vector<Choice>& choices = near.empty() ? far : near;
+  if (choices.empty()) {
+    return nullptr;
+  }
+  const std::size_t picked = Pick(m_balancer, choices, m_random);
+  return view.m_state.FindMember(choices[picked].m_member);
+}
+
+void Ingress::Send(Time now,
+                   CallId id,
+                   Call& call,
+                   const Member& member,
+                   const IngressView&,
+                   Actions& out) {
+  const AttemptId attempt{++m_last_attempt};
+  const MemberId to = member.m_info.m_id;
+  m_attempts[attempt] = {id, to, now};
+  ++m_targets[to].m_outstanding;
+  ++call.m_attempts;
+  call.m_open.push_back(attempt);
+  call.m_tried.push_back(to);
+  out.emplace_back(SendAttempt{
+      id,
+      attempt,
+      to,
+      member.m_info.m_peer,
+      {call.m_head.m_service, call.m_slice, call.m_request_id,
+       call.m_head.m_caller_id.has_value(), call.m_deadline - now},
+  });
+}
+
+void Ingress::OnAttemptEnd(Time now,
+                           AttemptId id,
+                           Outcome outcome,
+                           Reason reason,
+                           const IngressView& view,
+                           Actions& out) {
+  const auto it = m_attempts.find(id);
+  if (it == m_attempts.end()) {
+    return;
+  }
+  const Attempt attempt = it->second;
+  m_attempts.erase(it);
+  Call& call = m_calls.at(attempt.m_call);
+  std::erase(call.m_open, id);
+  Observe(now, attempt, call, outcome, reason);
+  switch (outcome) {
+    case Outcome::kAnswered:
+      Finish(attempt.m_call, outcome, Reason::kNone, id, view, out);
+      return;
+    case Outcome::kNotRun:
+      OnNotRun(now, attempt.m_call, call, reason, view, out);
+      return;
+    case Outcome::kUnknown:
+      OnUnknown(now, attempt.m_call, call, reason, view, out);
+      return;
+  }
+}
+
+void Ingress::Observe(Time now,
+                      const Attempt& attempt,
+                      const Call& call,
+                      Outcome outcome,
+                      Reason reason) {
+  TargetView& target = m_targets[attempt.m_member];
+  --target.m_outstanding;
+  if (outcome == Outcome::kAnswered) {
+    const Duration latency = now - attempt.m_sent_at;
+    const auto us = static_cast<double>(latency.count());
+    target.m_latency =
+        target.m_latency == 0
+            ? us
+            : target.m_latency + kLatencyWeight * (us - target.m_latency);
+    target.m_failures = 0;
+    m_services[call.m_head.m_service].m_latencies.Add(now, latency);
+    return;
+  }
+  if (reason == Reason::kCancelled || reason == Reason::kDuplicate) {
+    return;
+  }
+  if (++target.m_failures >= kFailuresToAvoid) {
+    target.m_avoid_until = now + kAvoidTime;
+    target.m_failures = 0;
+  }
+}
+
+void Ingress::OnNotRun(Time now,
+                       CallId id,
+                       Call& call,
+                       Reason reason,
+                       const IngressView& view,
+                       Actions& out) {
+  call.m_last_reason = reason;
+  if (!call.m_open.empty()) {
+    return;
+  }
+  const Profile& profile = view.m_state.ProfileOf(call.m_head.m_service);
+  const bool may_wait =
+      now < call.m_started + profile.m_queue_wait && now < call.m_deadline;
+  if (!IsFinal(reason) && may_wait) {
+    if (IsOwnershipInMotion(reason)) {
+      RetryLater(now, id, call);
+      return;
+    }
+    if (call.m_attempts < profile.m_max_attempts &&
+        m_services[call.m_head.m_service].m_retries.Withdraw()) {
+      RetryLater(now, id, call);
+      return;
+    }
+  }
+  const Outcome outcome =
+      call.m_may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  Finish(id, outcome, reason, AttemptId{0}, view, out);
+}
+
+void Ingress::OnUnknown(Time now,
+                        CallId id,
+                        Call& call,
+                        Reason reason,
+                        const IngressView& view,
+                        Actions& out) {
+  call.m_may_have_run = true;
+  call.m_last_reason = reason;
+  if (!call.m_open.empty()) {
+    return;
+  }
+  const Profile& profile = view.m_state.ProfileOf(call.m_head.m_service);
+  if (profile.m_repeatable && now < call.m_deadline &&
+      call.m_attempts < profile.m_max_attempts &&
+      m_services[call.m_head.m_service].m_retries.Withdraw()) {
+    RetryLater(now, id, call);
+    return;
+  }
+  Finish(id, Outcome::kUnknown, reason, AttemptId{0}, view, out);
+}
+
+void Ingress::RetryLater(Time now, CallId id, Call& call) {
+  call.m_backoff = call.m_backoff == Duration::zero()
+                       ? kFirstBackoff
+                       : std::min(2 * call.m_backoff, kMostBackoff);
+  call.m_retry_at = now + call.m_backoff;
+  SetTimer(id, call);
+}
+
+void Ingress::Hedge(Time now,
+                    CallId id,
+                    Call& call,
+                    const IngressView& view,
+                    Actions& out) {
+  call.m_hedge_at = kNever;
+  const Member* member = ChooseAny(now, call, view);
+  if (member == nullptr || member->m_info.m_region != view.m_self.m_region ||
+      !m_services[call.m_head.m_service].m_hedges.Withdraw()) {
+    return;
+  }
+  Send(now, id, call, *member, view, out);
+}
+
+void Ingress::OnCallerGone(CallId id, const IngressView& view, Actions& out) {
+  if (m_calls.contains(id)) {
+    Finish(id, Outcome::kUnknown, Reason::kCancelled, AttemptId{0}, view, out);
+  }
+}
+
+// Whatever still runs for a call that has its end is cancelled.
+void Ingress::Finish(CallId id,
+                     Outcome outcome,
+                     Reason reason,
+                     AttemptId answered,
+                     const IngressView& view,
+                     Actions& out) {
+  const auto it = m_calls.find(id);
+  Call& call = it->second;
+  m_timers.erase({call.m_timer, id});
+  for (AttemptId open : call.m_open) {
+    const auto attempt = m_attempts.find(open);
+    const MemberId to = attempt->second.m_member;
+    --m_targets[to].m_outstanding;
+    m_attempts.erase(attempt);
+    const Member* member = view.m_state.FindMember(to);
+    out.emplace_back(CancelAttempt{
+        open, to, member == nullptr ? Endpoint{} : member->m_info.m_peer});
+  }
+  m_calls.erase(it);
+  out.emplace_back(FinishCall{id, outcome, reason, answered});
+}
+
+void Ingress::OnTimer(Time now, const IngressView& view, Actions& out) {
+  while (!m_timers.empty() && m_timers.begin()->first <= now) {
+    const CallId id = m_timers.begin()->second;
+    m_timers.erase(m_timers.begin());
+    Call& call = m_calls.at(id);
+    call.m_timer = kNever;
+    if (now >= call.m_deadline) {
+      const bool may_have_run = call.m_may_have_run || !call.m_open.empty();
+      Finish(id, may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+             Reason::kDeadline, AttemptId{0}, view, out);
+    } else if (now >= call.m_retry_at) {
+      Route(now, id, call, view, out);
+    } else {
+      if (now >= call.m_hedge_at) {
+        Hedge(now, id, call, view, out);
+      }
+      SetTimer(id, call);
+    }
+  }
+}
+
+void Ingress::SetTimer(CallId id, Call& call) {
+  m_timers.erase({call.m_timer, id});
+  call.m_timer = std::min({call.m_deadline, call.m_retry_at, call.m_hedge_at});
+  m_timers.insert({call.m_timer, id});
+}
+
+Time Ingress::NextDeadline() const noexcept {
+  return m_timers.empty() ? kNever : m_timers.begin()->first;
+}
+
+Explanation Ingress::Explain(const CallHead& head, const IngressView& view) {
+  Explanation why;
+  why.m_reason = Screen(head, view);
+  const Service* service = view.m_state.FindService(head.m_service);
+  if (service == nullptr) {
+    return why;
+  }
+  const Profile& profile = view.m_state.ProfileOf(head.m_service);
+  why.m_profile = service->m_profile;
+  if (const auto* published = view.m_state.FindProfile(service->m_profile)) {
+    why.m_profile_version = published->m_version;
+  }
+  if (IsSliced(profile)) {
+    why.m_slice =
+        SliceOfCall(profile, head, head.m_caller_id.value_or(RequestId{}));
+    const Slice& slice = service->m_slices[*why.m_slice];
+    why.m_epoch = slice.m_epoch;
+    if (slice.m_owner != kNoMember) {
+      why.m_members.push_back(slice.m_owner);
+    }
+  } else {
+    for (const auto& [id, member] : view.m_state.members()) {
+      if (member.m_info.m_service == head.m_service &&
+          view.m_state.IsEligible(member)) {
+        why.m_members.push_back(id);
+      }
+    }
+  }
+  if (why.m_members.empty() && why.m_reason == Reason::kNone) {
+    why.m_reason = Reason::kNoTarget;
+  }
+  return why;
+}
+
+}  // namespace figlug::core
--- /dev/null
+++ b/core/src/node.cc
@@ -0,0 +1,631 @@
+#include "figlug/core/node.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace figlug::core {
+namespace {
+
+constexpr std::size_t kWatchersPerMember = 3;
+constexpr std::size_t kKeptEntries = 512;
+constexpr std::uint32_t kWarmUpSteps = 3;
+constexpr Duration kReviewPeriod = std::chrono::milliseconds(50);
+constexpr Duration kReleaseQueryPeriod = std::chrono::milliseconds(100);
+constexpr Duration kRecordsQueryPeriod = std::chrono::milliseconds(300);
+constexpr Duration kFirstAppendBackoff = std::chrono::milliseconds(500);
+constexpr Duration kMostAppendBackoff = std::chrono::seconds(5);
+constexpr Duration kCheckpointTurn = std::chrono::seconds(1);
+constexpr std::size_t kMostCheckpointTurns = 30;
+constexpr Duration kPauseMargin = std::chrono::milliseconds(150);
+
+std::uint64_t Score(MemberId self, MemberId other) {
+  const std::uint64_t ids[] = {static_cast<std::uint64_t>(self),
+                               static_cast<std::uint64_t>(other)};
+  return XXH3_64bits(ids, sizeof(ids));
+}
+
+bool Contains(std::span<const MemberId> members, MemberId id) {
+  return std::ranges::find(members, id) != members.end();
+}
+
+}  // namespace
+
+Node::Node(NodeSettings settings, Now now)
+    : m_settings(std::move(settings)),
+      m_random(m_settings.m_seed),
+      m_lease(m_settings.m_timing),
+      m_watcher(m_settings.m_timing),
+      m_ownership(m_settings.m_self.m_id),
+      m_ingress(m_settings.m_balancer, m_settings.m_seed),
+      m_next_heartbeat(now.m_time),
+      m_next_review(now.m_time),
+      m_last_timer(now.m_time) {}
+
+void Node::OnLogHealth(Now, bool is_healthy) {
+  m_log_healthy = is_healthy;
+}
+
+void Node::HandleStart(Now now, ControlState state) {
+  m_state = std::move(state);
+  m_checkpointed = m_state.next();
+  m_checkpointed_at = now.m_time;
+  m_fold_marks.clear();
+  m_recent_entries.clear();
+  AfterFold(now);
+}
+
+void Node::HandleCaughtUp(Now now) {
+  m_caught_up = true;
+  JoinIfReady(now);
+}
+
+void Node::HandleTargetHealth(Now now, bool is_up) {
+  if (m_target_up == is_up) {
+    return;
+  }
+  m_target_up = is_up;
+  if (is_up) {
+    JoinIfReady(now);
+    return;
+  }
+  m_gate.OnTargetCold();
+  if (FindSelf() != nullptr && !m_stopping_since) {
+    Append(now, DrainRecord{m_settings.m_self.m_id});
+  }
+}
+
+void Node::JoinIfReady(Now now) {
+  if (m_joined || m_stopping_since || !m_caught_up || !m_target_up ||
+      m_identity_lost) {
+    return;
+  }
+  m_joined = true;
+  m_joined_at = now.m_time;
+  Append(now, JoinRecord{m_settings.m_self, ChooseWatchers({})});
+}
+
+void Node::HandleRecords(Now now, std::span<const LogEntry> entries) {
+  const Offset before = m_state.next();
+  for (const LogEntry& entry : entries) {
+    if (entry.m_offset == m_state.next()) {
+      Fold(now, entry);
+    }
+  }
+  if (m_state.next() == before) {
+    return;
+  }
+  MarkFold(now);
+  AfterFold(now);
+}
+
+// Only the newest mark that is old enough is ever asked for.
+void Node::MarkFold(Now now) {
+  m_fold_marks.push_back({now.m_time, m_state.next()});
+  while (m_fold_marks.size() > 1 &&
+         m_fold_marks[1].m_time + m_settings.m_timing.m_stale_reader <=
+             now.m_time) {
+    m_fold_marks.pop_front();
+  }
+}
+
+void Node::Fold(Now now, const LogEntry& entry) {
+  const ApplyResult result = m_state.Apply(entry);
+  m_appends.erase(entry.m_append_id);
+  m_recent_entries.push_back(entry);
+  if (m_recent_entries.size() > kKeptEntries) {
+    m_recent_entries.pop_front();
+  }
+  if (const auto* checkpoint = std::get_if<CheckpointRecord>(&entry.m_record)) {
+    m_checkpointed = std::max(m_checkpointed, checkpoint->m_next);
+    m_checkpointed_at = now.m_time;
+  }
+  if (result.m_removed == m_settings.m_self.m_id) {
+    if (m_stopping_since) {
+      return;
+    }
+    ForgetIdentity();
+    m_actions.emplace_back(IdentityLost{});
+    return;
+  }
+  const std::string& name = m_settings.m_self.m_service;
+  if (const Service* service = m_state.FindService(name);
+      service != nullptr && result.m_applied) {
+    m_ownership.OnFolded(now.m_time, now.m_wall, *service,
+                         m_state.ProfileOf(name).m_takeover_wait);
+  }
+  const Member* self = FindSelf();
+  if (self != nullptr && self->m_generation != m_generation) {
+    m_generation = self->m_generation;
+    m_lease.Adopt(now.m_time, m_generation, self->m_watchers);
+    m_next_heartbeat = now.m_time;
+  }
+}
+
+void Node::AfterFold(Now now) {
+  m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
+  m_next_review = now.m_time;
+  m_next_release_query = now.m_time;
+  GiveReleases(now);
+  AskForReleases(now);
+}
+
+// What this process knew as a member is void; its running work goes on, and
+// its callers are still served.
+void Node::ForgetIdentity() {
+  m_identity_lost = true;
+  m_joined = false;
+  m_leaving = false;
+  m_generation = 0;
+  m_asked_weight = 0;
+  m_lease = LeaseHolder(m_settings.m_timing);
+  m_watcher = LeaseWatcher(m_settings.m_timing);
+  m_ownership = Ownership(kNoMember);
+  m_appends.clear();
+  m_logged_releases.clear();
+}
+
+void Node::HandleLogGap(Now) {
+  ForgetIdentity();
+  m_state = ControlState();
+  m_caught_up = false;
+  m_recent_entries.clear();
+  m_fold_marks.clear();
+  m_actions.emplace_back(IdentityLost{});
+}
+
+void Node::HandleNewIdentity(Now now, MemberId id) {
+  m_identity_lost = false;
+  m_settings.m_self.m_id = id;
+  m_ownership = Ownership(id);
+  if (const Service* service =
+          m_state.FindService(m_settings.m_self.m_service)) {
+    m_ownership.OnFolded(now.m_time, now.m_wall, *service, Duration::zero());
+  }
+  JoinIfReady(now);
+}
+
+void Node::HandleDatagram(Now now, const Datagram& datagram) {
+  std::visit([&](const auto& message) { On(now, message); }, datagram);
+}
+
+void Node::HandlePeerMessage(Now now, const PeerMessage& message) {
+  std::visit([&](const auto& typed) { On(now, typed); }, message);
+}
+
+// A member that has not read the log for long may not know that it was taken
+// out. Without acknowledgements its lease ends.
+void Node::On(Now now, const Heartbeat& heartbeat) {
+  if (m_identity_lost || IsBehind(now, heartbeat.m_next)) {
+    return;
+  }
+  const Member* member = m_state.FindMember(heartbeat.m_member);
+  if (member == nullptr) {
+    return;
+  }
+  HeartbeatAck ack{.m_watcher = m_settings.m_self.m_id,
+                   .m_member = heartbeat.m_member,
+                   .m_sent_at = heartbeat.m_sent_at,
+                   .m_next = m_state.next()};
+  if (heartbeat.m_generation != 0 &&
+      m_watcher.OnHeartbeat(now.m_time, heartbeat.m_member,
+                            heartbeat.m_generation)) {
+    ack.m_generation = heartbeat.m_generation;
+  }
+  if (heartbeat.m_proposed != 0 &&
+      m_watcher.OnHeartbeat(now.m_time, heartbeat.m_member,
+                            heartbeat.m_proposed)) {
+    ack.m_proposed = heartbeat.m_proposed;
+  }
+  if (ack.m_generation != 0 || ack.m_proposed != 0) {
+    m_actions.emplace_back(SendDatagram{member->m_info.m_peer, ack});
+  }
+}
+
+void Node::On(Now now, const HeartbeatAck& ack) {
+  if (ack.m_member != m_settings.m_self.m_id) {
+    return;
+  }
+  const bool had_lease = m_lease.IsValid(now.m_time);
+  m_lease.OnAck(now.m_time, ack.m_watcher, ack.m_generation, ack.m_sent_at);
+  m_lease.OnAck(now.m_time, ack.m_watcher, ack.m_proposed, ack.m_sent_at);
+  if (!had_lease && m_lease.IsValid(now.m_time)) {
+    m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
+  }
+  if (ack.m_next <= m_state.next()) {
+    m_behind_since.reset();
+    return;
+  }
+  const Time since = m_behind_since.value_or(now.m_time);
+  m_behind_since = since;
+  const Member* watcher = m_state.FindMember(ack.m_watcher);
+  if (watcher != nullptr && now.m_time > since + kRecordsQueryPeriod &&
+      now.m_time >= m_next_records_query) {
+    m_next_records_query = now.m_time + kRecordsQueryPeriod;
+    m_actions.emplace_back(
+        SendPeerMessage{watcher->m_info.m_peer,
+                        RecordsQuery{m_settings.m_self.m_id, m_state.next()}});
+  }
+}
+
+void Node::On(Now now, const ReleaseQuery& query) {
+  SendRelease(now, query.m_from, query.m_slices);
+}
+
+void Node::On(Now now, const Release& release) {
+  m_ownership.OnRelease(release);
+  m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
+}
+
+void Node::On(Now, const RecordsQuery& query) {
+  const Member* member = m_state.FindMember(query.m_from);
+  if (member == nullptr || m_recent_entries.empty() ||
+      query.m_next < m_recent_entries.front().m_offset ||
+      query.m_next >= m_state.next()) {
+    return;
+  }
+  const auto skipped = static_cast<std::ptrdiff_t>(
+      query.m_next - m_recent_entries.front().m_offset);
+  m_actions.emplace_back(SendPeerMessage{
+      member->m_info.m_peer,
+      Records{{m_recent_entries.begin() + skipped, m_recent_entries.end()}}});
+}
+
+void Node::On(Now now, const Records& records) {
+  HandleRecords(now, records.m_entries);
+}
+
+void Node::HandleStop(Now now) {
+  if (m_stopping_since) {
+    return;
+  }
+  m_stopping_since = now.m_time;
+  if (FindSelf() != nullptr) {
+    Append(now, DrainRecord{m_settings.m_self.m_id});
+  }
+  m_next_review = now.m_time;
+}
+
+void Node::HandleTimer(Now now) {
+  if (now.m_time >
+      m_last_timer + m_settings.m_timing.m_heartbeat + kPauseMargin) {
+    m_watcher.OnResumed(now.m_time);
+  }
+  m_last_timer = now.m_time;
+  m_ingress.OnTimer(now.m_time, ViewForIngress(), m_actions);
+  if (now.m_time >= m_gate.NextDeadline()) {
+    m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
+  }
+  if (now.m_time >= m_next_heartbeat) {
+    m_next_heartbeat = now.m_time + m_settings.m_timing.m_heartbeat;
+    SendHeartbeats(now);
+  }
+  if (now.m_time < m_next_review) {
+    return;
+  }
+  m_next_review = now.m_time + kReviewPeriod;
+  m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
+  RetryAppends(now);
+  CastVotes(now);
+  ReviewWatchers(now);
+  GiveReleases(now);
+  if (now.m_time >= m_next_release_query) {
+    m_next_release_query = now.m_time + kReleaseQueryPeriod;
+    AskForReleases(now);
+  }
+  StepWeight(now);
+  WriteCheckpoint(now);
+  ReviewDrain(now);
+  ReviewStop(now);
+}
+
+Time Node::NextDeadline() const noexcept {
+  return std::min({m_ingress.NextDeadline(), m_gate.NextDeadline(),
+                   m_next_heartbeat, m_next_review});
+}
+
+void Node::Append(Now now, Record record) {
+  const AppendId id{m_random()};
+  m_appends[id] = {record, now.m_time + kFirstAppendBackoff,
+                   kFirstAppendBackoff};
+  m_actions.emplace_back(AppendRecord{id, std::move(record)});
+}
+
+// An append is known only when it has been read back. Until then it is
+// repeated under the same id, which the fold takes once.
+void Node::RetryAppends(Now now) {
+  for (auto& [id, append] : m_appends) {
+    if (now.m_time < append.m_next_try) {
+      continue;
+    }
+    append.m_backoff = std::min(2 * append.m_backoff, kMostAppendBackoff);
+    append.m_next_try = now.m_time + append.m_backoff;
+    m_actions.emplace_back(AppendRecord{id, append.m_record});
+  }
+}
+
+void Node::SendHeartbeats(Now now) {
+  if (FindSelf() == nullptr) {
+    return;
+  }
+  std::map<MemberId, Heartbeat> heartbeats;
+  for (const LeaseHolder::Set& set : m_lease.sets()) {
+    for (const auto& [watcher, acked] : set.m_acked) {
+      Heartbeat& heartbeat = heartbeats[watcher];
+      heartbeat.m_member = m_settings.m_self.m_id;
+      heartbeat.m_sent_at = now.m_time;
+      heartbeat.m_next = m_state.next();
+      (set.m_generation == m_generation ? heartbeat.m_generation
+                                        : heartbeat.m_proposed) =
+          set.m_generation;
+    }
+  }
+  for (const auto& [watcher, heartbeat] : heartbeats) {
+    if (const Member* member = m_state.FindMember(watcher)) {
+      m_actions.emplace_back(SendDatagram{member->m_info.m_peer, heartbeat});
+    }
+  }
+}
+
+// Between the proposal and its place in the log both sets must agree, so a set
+// that has been proposed is never changed.
+void Node::ReviewWatchers(Now now) {
+  const Member* self = FindSelf();
+  if (self == nullptr || !m_log_healthy || m_lease.has_proposal() ||
+      m_leaving) {
+    return;
+  }
+  const std::vector<MemberId> silent = m_lease.SilentWatchers(now.m_time);
+  const bool is_worn =
+      std::ranges::any_of(self->m_watchers, [&](MemberId watcher) {
+        const Member* member = m_state.FindMember(watcher);
+        return member == nullptr || member->m_draining ||
+               Contains(silent, watcher);
+      });
+  const bool is_small = self->m_watchers.size() < kWatchersPerMember;
+  if (!is_worn && !is_small) {
+    return;
+  }
+  std::vector<MemberId> next = ChooseWatchers(silent);
+  std::vector<MemberId> current = self->m_watchers;
+  std::ranges::sort(next);
+  std::ranges::sort(current);
+  if (next == current || (!is_worn && next.size() <= current.size())) {
+    return;
+  }
+  const Generation generation = self->m_generation + 1;
+  m_lease.Propose(now.m_time, generation, next);
+  Append(now, WatchersRecord{m_settings.m_self.m_id, generation, next});
+  SendHeartbeats(now);
+}
+
+// One watcher in the own domain, one beside it and one in the other region: no
+// single loss takes a majority, and a split leaves one.
+std::vector<MemberId> Node::ChooseWatchers(
+    std::span<const MemberId> avoid) const {
+  const MemberInfo& own = m_settings.m_self;
+  const auto kind_of = [&](const MemberInfo& info) {
+    if (info.m_region != own.m_region) {
+      return 2;
+    }
+    return info.m_domain == own.m_domain ? 0 : 1;
+  };
+  std::vector<const Member*> others;
+  for (const auto& [id, member] : m_state.members()) {
+    if (id != own.m_id && !member.m_draining) {
+      others.push_back(&member);
+    }
+  }
+  const auto order = [&](const Member* member) {
+    const MemberId id = member->m_info.m_id;
+    return std::pair(Contains(avoid, id), Score(own.m_id, id));
+  };
+  std::ranges::sort(others, std::less<>{}, order);
+  std::vector<MemberId> chosen;
+  for (int kind : {0, 1, 2}) {
+    const auto it = std::ranges::find_if(others, [&](const Member* member) {
+      return kind_of(member->m_info) == kind;
+    });
+    if (it != others.end()) {
+      chosen.push_back((*it)->m_info.m_id);
+    }
+  }
+  for (const Member* member : others) {
+    if (chosen.size() < kWatchersPerMember &&
+        !Contains(chosen, member->m_info.m_id)) {
+      chosen.push_back(member->m_info.m_id);
+    }
+  }
+  return chosen;
+}
+
+// While the log does not answer nobody can be voted down, and a vote in waiting
+// would only take a pledge away.
+void Node::CastVotes(Now now) {
+  if (!m_log_healthy || FindSelf() == nullptr) {
+    return;
+  }
+  for (const VoteRecord& vote :
+       m_watcher.DueVotes(now.m_time, m_settings.m_self.m_id, m_state)) {
+    Append(now, vote);
+  }
+}
+
+void Node::AskForReleases(Now) {
+  for (auto& [holder, slices] : m_ownership.MissingReleases()) {
+    if (const Member* member = m_state.FindMember(holder)) {
+      m_actions.emplace_back(SendPeerMessage{
+          member->m_info.m_peer,
+          ReleaseQuery{m_settings.m_self.m_id, std::move(slices)}});
+    }
+  }
+}
+
+// The new owners hear directly; the log hears once for each loss, so that a
+// later owner need not ask.
+void Node::GiveReleases(Now now) {
+  const Service* service = m_state.FindService(m_settings.m_self.m_service);
+  if (service == nullptr || FindSelf() == nullptr) {
+    return;
+  }
+  std::map<MemberId, std::vector<SliceIndex>> by_owner;
+  ReleaseRecord record{m_settings.m_self.m_id, m_state.next() - 1, {}};
+  for (SliceIndex index : m_ownership.OwedReleases()) {
+    const Slice& slice = service->m_slices[index];
+    Offset& logged = m_logged_releases[index];
+    if (logged == slice.m_epoch || m_gate.IsBusy(now.m_time, index)) {
+      continue;
+    }
+    logged = slice.m_epoch;
+    record.m_slices.push_back(index);
+    by_owner[slice.m_owner].push_back(index);
+  }
+  for (const auto& [owner, slices] : by_owner) {
+    SendRelease(now, owner, slices);
+  }
+  if (!record.m_slices.empty()) {
+    Append(now, std::move(record));
+  }
+}
+
+void Node::SendRelease(Now now,
+                       MemberId to,
+                       std::span<const SliceIndex> slices) {
+  const Member* member = m_state.FindMember(to);
+  if (member == nullptr || m_identity_lost) {
+    return;
+  }
+  Release release{m_settings.m_self.m_id, m_state.next() - 1, {}};
+  for (SliceIndex index : slices) {
+    if (index < kSlicesPerService && !m_ownership.IsOwner(index) &&
+        !m_gate.IsBusy(now.m_time, index)) {
+      release.m_slices.push_back(m_ownership.MakeRelease(index));
+    }
+  }
+  if (!release.m_slices.empty()) {
+    m_actions.emplace_back(
+        SendPeerMessage{member->m_info.m_peer, std::move(release)});
+  }
+}
+
+void Node::StepWeight(Now now) {
+  const Member* self = FindSelf();
+  if (self == nullptr || self->m_weight >= kFullWeight) {
+    return;
+  }
+  const Duration warm_up = m_state.ProfileOf(self->m_info.m_service).m_warm_up;
+  std::uint32_t due = 1;
+  for (std::uint32_t step = 1; step <= kWarmUpSteps; ++step) {
+    if (now.m_time >= m_joined_at + warm_up * step / kWarmUpSteps) {
+      due *= 2;
+    }
+  }
+  if (due > self->m_weight && due > m_asked_weight) {
+    m_asked_weight = due;
+    Append(now, WeightRecord{m_settings.m_self.m_id, due});
+  }
+}
+
+// Members take turns by the order of their ids, so that usually one writes and
+// a lost one is made up for.
+void Node::WriteCheckpoint(Now now) {
+  if (FindSelf() == nullptr || !m_log_healthy) {
+    return;
+  }
+  Time due = m_checkpointed_at + m_settings.m_checkpoint_period;
+  if (m_state.next() >= m_checkpointed + m_settings.m_checkpoint_records) {
+    due = m_checkpointed_at;
+  }
+  const auto& members = m_state.members();
+  const auto rank = static_cast<std::size_t>(
+      std::distance(members.begin(), members.find(m_settings.m_self.m_id)));
+  due += std::min(rank, kMostCheckpointTurns) * kCheckpointTurn;
+  if (now.m_time < due) {
+    return;
+  }
+  m_checkpointed = m_state.next();
+  m_checkpointed_at = now.m_time;
+  Append(now, CheckpointRecord{m_state.next(),
+                               std::make_shared<const ControlState>(m_state)});
+}
+
+// A member that drains leaves when nothing runs and nothing is held.
+void Node::ReviewDrain(Now now) {
+  const Member* self = FindSelf();
+  if (self == nullptr || !self->m_draining || m_leaving || !m_gate.IsIdle() ||
+      m_ownership.owned_count() > 0 || !m_ownership.OwedReleases().empty()) {
+    return;
+  }
+  const bool still_routes = m_stopping_since && m_ingress.open_calls() > 0;
+  if (!still_routes) {
+    m_leaving = true;
+    Append(now, LeaveRecord{m_settings.m_self.m_id});
+  }
+}
+
+void Node::ReviewStop(Now now) {
+  if (!m_stopping_since || m_stop_reported) {
+    return;
+  }
+  const bool is_done =
+      FindSelf() == nullptr && m_gate.IsIdle() && m_ingress.open_calls() == 0;
+  const bool is_out_of_time =
+      now.m_time >= *m_stopping_since + m_settings.m_stop_limit;
+  if (is_done || is_out_of_time) {
+    m_stop_reported = true;
+    m_actions.emplace_back(ReadyToStop{});
+  }
+}
+
+bool Node::IsBehind(Now now, Offset next) const {
+  const auto it = std::ranges::find_if(
+      m_fold_marks.rbegin(), m_fold_marks.rend(), [&](const FoldMark& mark) {
+        return mark.m_time + m_settings.m_timing.m_stale_reader <= now.m_time;
+      });
+  return it != m_fold_marks.rend() && next < it->m_next;
+}
+
+const Member* Node::FindSelf() const noexcept {
+  return m_identity_lost ? nullptr : m_state.FindMember(m_settings.m_self.m_id);
+}
+
+Reason Node::ClosedReason(Time now) const {
+  const Member* self = FindSelf();
+  if (self == nullptr || !m_lease.IsValid(now)) {
+    return Reason::kNoLease;
+  }
+  if (m_leaving) {
+    return Reason::kStopping;
+  }
+  const Profile& profile = m_state.ProfileOf(self->m_info.m_service);
+  if (!IsHomeRegion(profile, self->m_info.m_region)) {
+    return Reason::kWrongRegion;
+  }
+  if (IsSliced(profile)) {
+    return Reason::kNone;
+  }
+  if (self->m_draining) {
+    return Reason::kStopping;
+  }
+  return m_state.IsExcluded(self->m_info) ? Reason::kExcluded : Reason::kNone;
+}
+
+GateView Node::ViewForGate(Now now) {
+  return {m_state.ProfileOf(m_settings.m_self.m_service), m_ownership,
+          ClosedReason(now.m_time)};
+}
+
+IngressView Node::ViewForIngress() const {
+  return {m_state, m_settings.m_self};
+}
+
+bool Node::IsServing(Time now) const {
+  return ClosedReason(now) == Reason::kNone;
+}
+
+bool Node::Admits(Time now, SliceIndex slice) const {
+  return ClosedReason(now) == Reason::kNone &&
+         m_ownership.StatusOf(now, slice) == SliceStatus::kReady;
+}
+
+}  // namespace figlug::core
--- /dev/null
+++ b/core/src/ownership.cc
@@ -0,0 +1,156 @@
+#include "figlug/core/ownership.h"
+
+#include <algorithm>
+
+namespace figlug::core {
+
+void Ownership::OnFolded(Time now,
+                         WallTime wall,
+                         const Service& service,
+                         Duration takeover_wait) {
+  for (SliceIndex i = 0; i < service.m_slices.size(); ++i) {
+    const Slice& next = service.m_slices[i];
+    Local& local = m_local[i];
+    if (next == local.m_slice) {
+      continue;
+    }
+    CoverVanishedPriors(wall, i, next);
+    if (next.m_lost_at != local.m_slice.m_lost_at) {
+      local.m_loss_wall = wall;
+      local.m_ready_at = now + takeover_wait;
+    }
+    local.m_slice = next;
+    if (next.m_owner != m_self) {
+      local.m_released.clear();
+      if (!IsPrior(next)) {
+        m_ids.Forget(i);
+      }
+    }
+  }
+}
+
+// A prior holder that let go by record alone has not told which requests it
+// ran. All that are older than now may have run.
+void Ownership::CoverVanishedPriors(WallTime wall,
+                                    SliceIndex index,
+                                    const Slice& next) {
+  const Local& local = m_local[index];
+  if (local.m_slice.m_owner != m_self) {
+    return;
+  }
+  for (const PriorHolder& prior : local.m_slice.m_priors) {
+    const bool is_left =
+        std::ranges::any_of(next.m_priors, [&](const PriorHolder& other) {
+          return other.m_member == prior.m_member;
+        });
+    if (!is_left && !HasLetGo(local, prior)) {
+      m_ids.RaiseBarrier(index, wall);
+    }
+  }
+}
+
+SliceStatus Ownership::StatusOf(Time now, SliceIndex slice) const {
+  const Local& local = m_local[slice];
+  if (local.m_slice.m_owner != m_self) {
+    return SliceStatus::kNotOwner;
+  }
+  const bool is_free = std::ranges::all_of(
+      local.m_slice.m_priors,
+      [&](const PriorHolder& prior) { return HasLetGo(local, prior); });
+  return is_free && now >= local.m_ready_at ? SliceStatus::kReady
+                                            : SliceStatus::kWaiting;
+}
+
+bool Ownership::IsPrior(const Slice& slice) const {
+  return std::ranges::any_of(slice.m_priors, [&](const PriorHolder& prior) {
+    return prior.m_member == m_self;
+  });
+}
+
+bool Ownership::HasLetGo(const Local& local, const PriorHolder& prior) const {
+  if (prior.m_member == m_self) {
+    return true;
+  }
+  const auto it = local.m_released.find(prior.m_member);
+  return it != local.m_released.end() && it->second >= prior.m_taken_at;
+}
+
+Offset Ownership::EpochOf(SliceIndex slice) const {
+  return m_local[slice].m_slice.m_epoch;
+}
+
+// A word given before the slice was taken away says nothing about it: the
+// sender may have served again since.
+void Ownership::OnRelease(const Release& release) {
+  for (const ReleasedSlice& released : release.m_slices) {
+    if (released.m_slice >= m_local.size()) {
+      continue;
+    }
+    Local& local = m_local[released.m_slice];
+    if (local.m_slice.m_owner != m_self) {
+      continue;
+    }
+    Offset& folded = local.m_released[release.m_from];
+    folded = std::max(folded, release.m_folded);
+    local.m_covered_loss = std::max(local.m_covered_loss, released.m_lost_at);
+    m_ids.Merge(released.m_slice, released.m_ids);
+  }
+}
+
+// What a lost holder ran is not known, so each id older than the loss may have
+// run.
+bool Ownership::InsertId(SliceIndex slice, const RequestId& id) {
+  Local& local = m_local[slice];
+  if (local.m_slice.m_lost_at > local.m_covered_loss) {
+    m_ids.RaiseBarrier(slice, local.m_loss_wall);
+    local.m_covered_loss = local.m_slice.m_lost_at;
+  }
+  return m_ids.Insert(slice, id);
+}
+
+void Ownership::RemoveId(SliceIndex slice, const RequestId& id) {
+  m_ids.Remove(slice, id);
+}
+
+std::vector<SliceIndex> Ownership::OwedReleases() const {
+  std::vector<SliceIndex> owed;
+  for (SliceIndex i = 0; i < m_local.size(); ++i) {
+    const Slice& slice = m_local[i].m_slice;
+    if (slice.m_owner != m_self && IsPrior(slice)) {
+      owed.push_back(i);
+    }
+  }
+  return owed;
+}
+
+ReleasedSlice Ownership::MakeRelease(SliceIndex slice) const {
+  return {slice, m_local[slice].m_covered_loss, m_ids.Find(slice)};
+}
+
+std::map<MemberId, std::vector<SliceIndex>> Ownership::MissingReleases() const {
+  std::map<MemberId, std::vector<SliceIndex>> missing;
+  for (SliceIndex i = 0; i < m_local.size(); ++i) {
+    const Local& local = m_local[i];
+    if (local.m_slice.m_owner != m_self) {
+      continue;
+    }
+    for (const PriorHolder& prior : local.m_slice.m_priors) {
+      if (!HasLetGo(local, prior)) {
+        missing[prior.m_member].push_back(i);
+      }
+    }
+  }
+  return missing;
+}
+
+bool Ownership::IsOwner(SliceIndex slice) const {
+  return m_local[slice].m_slice.m_owner == m_self;
+}
+
+std::uint32_t Ownership::owned_count() const {
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      m_local,
+      [&](const Local& local) { return local.m_slice.m_owner == m_self; }));
+}
+
+}  // namespace figlug::core
--- /dev/null
+++ b/figlugd/main.cc
@@ -0,0 +1,75 @@
+#include <log4cplus/initializer.h>
+#include <log4cplus/loggingmacros.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "figlug/runtime/daemon.h"
+#include "figlug/runtime/http_log_client.h"
+#include "figlug/runtime/log_prefix.h"
+#include "figlug/settings/daemon_settings.h"
+
+namespace {
+
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return std::uint64_t{device()} << 32 | device();
+}
+
+int Run(const figlug::settings::DaemonSettings& settings) {
+  using figlug::runtime::HttpLogClient;
+  const log4cplus::Initializer logging;
+  figlug::runtime::SetUpLogging(settings.m_log_level);
+  figlug::runtime::EventLoop loop;
+  HttpLogClient log(loop, settings.m_log);
+  figlug::runtime::Daemon<HttpLogClient> daemon(loop, settings, log,
+                                                RandomSeed());
+  if (const auto started = daemon.Start(); !started) {
+    LOG4CPLUS_ERROR(figlug::runtime::ProcessLog(), ToString(started.error()));
+    return kExitFailure;
+  }
+  const auto stop = [&] { daemon.Stop(); };
+  figlug::runtime::SignalHandler on_term(loop, SIGTERM, stop);
+  figlug::runtime::SignalHandler on_interrupt(loop, SIGINT, stop);
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command("Routes requests to the sole owner of their key", ' ',
+                         "0.1");
+  TCLAP::ValueArg<std::string> file("s", "settings", "INI file of settings",
+                                    true, "", "FILE", command);
+  TCLAP::SwitchArg check("c", "check-settings",
+                         "Check the settings and exit with 0 or 2", command);
+  command.parse(argc, argv);
+
+  std::ifstream in(file.getValue());
+  if (!in) {
+    std::cerr << "figlugd: cannot read " << file.getValue() << '\n';
+    return kExitBadSettings;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  const auto settings =
+      figlug::settings::ParseDaemonSettings(file.getValue(), text.str());
+  if (!settings) {
+    std::cerr << "figlugd: " << ToString(settings.error()) << '\n';
+    return kExitBadSettings;
+  }
+  if (check.getValue()) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  return Run(*settings);
+}
--- /dev/null
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -0,0 +1,142 @@
+#ifndef FIGLUG_RUNTIME_DAEMON_H_
+#define FIGLUG_RUNTIME_DAEMON_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include <tl/expected.hpp>
+
+#include "figlug/core/node.h"
+#include "figlug/runtime/connection_probe.h"
+#include "figlug/runtime/datagram_socket.h"
+#include "figlug/runtime/event_loop.h"
+#include "figlug/runtime/http_client.h"
+#include "figlug/runtime/http_front.h"
+#include "figlug/runtime/log_follower.h"
+#include "figlug/runtime/log_service.h"
+#include "figlug/runtime/metrics.h"
+#include "figlug/runtime/peer_transport.h"
+#include "figlug/runtime/runtime_error.h"
+#include "figlug/runtime/span_writer.h"
+#include "figlug/runtime/trace_context.h"
+#include "figlug/settings/daemon_settings.h"
+
+namespace figlug::runtime {
+
+/// \brief One figlugd: turns messages into events and carries out actions.
+///
+/// \code
+/// Daemon<HttpLogClient> daemon(loop, settings, log, seed);
+/// if (auto started = daemon.Start(); !started) Report(started.error());
+/// loop.Run();
+/// \endcode
+template <LogService Log>
+class Daemon {
+ public:
+  /// \param seed Seed of ids and random choices; differs at each start.
+  Daemon(EventLoop& loop,
+         const settings::DaemonSettings& settings,
+         Log& log,
+         std::uint64_t seed);
+
+  /// \brief Opens the sockets and begins to follow the log.
+  [[nodiscard]] tl::expected<void, RuntimeError> Start();
+  /// \brief Begins a graceful stop; the loop stops at its end.
+  void Stop();
+
+ private:
+  /// A caller's request from its arrival to its answer.
+  struct Call {
+    std::shared_ptr<const wire::HttpRequest> m_request;
+    std::string m_service;
+    TraceContext m_trace;
+    core::Now m_started;
+    std::size_t m_buffered = 0;
+    /// The answer that one of its attempts brought.
+    wire::HttpResponse m_response;
+  };
+  /// An attempt that this gate has taken in.
+  struct Work {
+    /// Unset for attempts of this process itself.
+    std::optional<PeerConnectionId> m_peer;
+    core::AttemptId m_attempt{0};
+    core::AttemptHead m_head;
+    std::shared_ptr<const wire::HttpRequest> m_request;
+    TraceContext m_trace;
+    core::Now m_started;
+    std::optional<HttpCallId> m_target_call;
+    wire::HttpResponse m_response;
+  };
+
+  // Events from the sockets.
+  std::optional<wire::HttpResponse> Screen(const wire::HttpRequest& head);
+  void OnHttpRequest(ExchangeId id, wire::HttpRequest&& request);
+  void OnCallerGone(ExchangeId id);
+  void OnFrame(PeerConnectionId from, wire::Frame&& frame);
+  void OnReply(wire::ReplyFrame&& frame);
+  void OnLost(core::AttemptId attempt, bool was_sent);
+  void OnPeerClosed(PeerConnectionId peer);
+  void OnTargetDone(core::WorkId id, HttpClient::Result&& result);
+  void OnAttempt(Work&& work);
+  void EndAttempt(core::AttemptId attempt,
+                  core::Outcome outcome,
+                  core::Reason reason,
+                  wire::HttpResponse&& response);
+  void CancelWork(std::optional<PeerConnectionId> peer,
+                  core::AttemptId attempt);
+  [[nodiscard]] std::optional<wire::HttpResponse> Administer(
+      const wire::HttpRequest& request);
+  [[nodiscard]] Gauges ReadGauges() const;
+
+  // Actions of the core.
+  void Carry(core::SendDatagram&& action);
+  void Carry(core::SendPeerMessage&& action);
+  void Carry(core::AppendRecord&& action);
+  void Carry(core::SendAttempt&& action);
+  void Carry(core::CancelAttempt&& action);
+  void Carry(core::DispatchWork&& action);
+  void Carry(core::CancelWork&& action);
+  void Carry(core::FinishAttempt&& action);
+  void Carry(core::FinishCall&& action);
+  void Carry(core::IdentityLost&& action);
+  void Carry(core::ReadyToStop&& action);
+
+  [[nodiscard]] LogFollowerHandlers MakeLogHandlers();
+  [[nodiscard]] wire::HttpRequest MakeTargetRequest(
+      const Work& work,
+      const core::DispatchWork& action) const;
+  template <class Event>
+  void Drive(Event&& event);
+  void Rearm();
+  [[nodiscard]] core::MemberId NewMemberId();
+
+  EventLoop& m_loop;
+  settings::DaemonSettings m_settings;
+  Log& m_log;
+  std::mt19937_64 m_random;
+  core::Node m_node;
+  HttpFront m_front;
+  HttpClient m_target;
+  PeerTransport m_peers;
+  DatagramSocket m_datagrams;
+  ConnectionProbe m_probe;
+  LogFollower<Log> m_follower;
+  Timer m_timer;
+  core::Time m_timer_at = core::kNever;
+  SpanWriter m_spans;
+  Metrics m_metrics;
+  std::uint64_t m_last_work = 0;
+  std::size_t m_buffered = 0;
+  std::unordered_map<core::CallId, Call> m_calls;
+  std::unordered_map<core::AttemptId, core::CallId> m_attempts;
+  std::unordered_map<core::WorkId, Work> m_work;
+};
+
+}  // namespace figlug::runtime
+
+#endif  // FIGLUG_RUNTIME_DAEMON_H_
--- /dev/null
+++ b/runtime/include/figlug/runtime/span_writer.h
@@ -0,0 +1,44 @@
+#ifndef FIGLUG_RUNTIME_SPAN_WRITER_H_
+#define FIGLUG_RUNTIME_SPAN_WRITER_H_
+
+#include <fstream>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+#include "figlug/core/outcome.h"
+#include "figlug/core/time.h"
+#include "figlug/runtime/runtime_error.h"
+#include "figlug/runtime/trace_context.h"
+
+namespace figlug::runtime {
+
+/// \brief One finished hop; never a key, path or body.
+struct Span {
+  TraceContext m_context;
+  /// "ingress" or "gate".
+  std::string_view m_hop;
+  std::string_view m_service;
+  core::WallTime m_started{};
+  core::Duration m_length{};
+  core::Outcome m_outcome = core::Outcome::kAnswered;
+  core::Reason m_reason = core::Reason::kNone;
+};
+
+/// \brief Appends spans to a file, one JSON object a line.
+class SpanWriter {
+ public:
+  /// \brief Opens the file; an empty name turns spans off.
+  [[nodiscard]] tl::expected<void, RuntimeError> Open(const std::string& file);
+  [[nodiscard]] bool is_open() const noexcept { return m_is_open; }
+  void Write(const Span& span);
+
+ private:
+  std::ofstream m_file;
+  bool m_is_open = false;
+};
+
+}  // namespace figlug::runtime
+
+#endif  // FIGLUG_RUNTIME_SPAN_WRITER_H_
--- /dev/null
+++ b/runtime/src/event_loop.cc
@@ -0,0 +1,77 @@
+#include "figlug/runtime/event_loop.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace figlug::runtime {
+namespace {
+
+constexpr core::Duration::rep kMicrosPerSecond = 1'000'000;
+
+void Call(evutil_socket_t, short, void* function) {
+  (*static_cast<std::function<void()>*>(function))();
+}
+
+}  // namespace
+
+core::Now ReadClocks() noexcept {
+  using std::chrono::duration_cast;
+  const auto monotonic = std::chrono::steady_clock::now().time_since_epoch();
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  return {core::Time(duration_cast<core::Duration>(monotonic)),
+          core::WallTime(duration_cast<std::chrono::milliseconds>(wall))};
+}
+
+EventLoop::EventLoop() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_config_set_flag(config, EVENT_BASE_FLAG_NO_CACHE_TIME);
+  m_base = event_base_new_with_config(config);
+  event_config_free(config);
+}
+
+EventLoop::~EventLoop() {
+  event_base_free(m_base);
+}
+
+void EventLoop::Run() {
+  event_base_dispatch(m_base);
+}
+
+void EventLoop::Stop() noexcept {
+  event_base_loopbreak(m_base);
+}
+
+Timer::Timer(EventLoop& loop, std::function<void()> on_time)
+    : m_on_time(std::move(on_time)),
+      m_event(evtimer_new(loop.base(), &Call, &m_on_time)) {}
+
+Timer::~Timer() {
+  event_free(m_event);
+}
+
+void Timer::Set(core::Duration delay) {
+  const auto us = std::max<core::Duration::rep>(delay.count(), 0);
+  const timeval wait{us / kMicrosPerSecond, us % kMicrosPerSecond};
+  evtimer_add(m_event, &wait);
+}
+
+void Timer::Cancel() noexcept {
+  evtimer_del(m_event);
+}
+
+SignalHandler::SignalHandler(EventLoop& loop,
+                             int signal,
+                             std::function<void()> on_signal)
+    : m_on_signal(std::move(on_signal)),
+      m_event(evsignal_new(loop.base(), signal, &Call, &m_on_signal)) {
+  evsignal_add(m_event, nullptr);
+}
+
+SignalHandler::~SignalHandler() {
+  event_free(m_event);
+}
+
+}  // namespace figlug::runtime
--- /dev/null
+++ b/runtime/src/http_client.cc
@@ -0,0 +1,278 @@
+#include "figlug/runtime/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace figlug::runtime {
+namespace {
+
+constexpr core::Duration::rep kMicrosPerSecond = 1'000'000;
+constexpr core::Duration kLeastTimeout = std::chrono::milliseconds(1);
+
+constexpr std::array<std::pair<std::string_view, evhttp_cmd_type>, 7> kMethods =
+    {{{"GET", EVHTTP_REQ_GET},
+      {"POST", EVHTTP_REQ_POST},
+      {"PUT", EVHTTP_REQ_PUT},
+      {"HEAD", EVHTTP_REQ_HEAD},
+      {"DELETE", EVHTTP_REQ_DELETE},
+      {"PATCH", EVHTTP_REQ_PATCH},
+      {"OPTIONS", EVHTTP_REQ_OPTIONS}}};
+
+std::optional<evhttp_cmd_type> FindMethod(std::string_view name) {
+  const auto* it = std::ranges::find(
+      kMethods, name, &std::pair<std::string_view, evhttp_cmd_type>::first);
+  if (it == kMethods.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+wire::HttpResponse ReadResponse(evhttp_request* request) {
+  wire::HttpResponse response;
+  response.m_status =
+      static_cast<std::uint16_t>(evhttp_request_get_response_code(request));
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    response.m_headers.push_back({header->key, header->value});
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(request);
+  response.m_body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, response.m_body.data(), response.m_body.size());
+  return response;
+}
+
+HttpClientError ToClientError(evhttp_request_error error) {
+  switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+      return HttpClientError::kTimeout;
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return HttpClientError::kTooLarge;
+    default:
+      return HttpClientError::kBroken;
+  }
+}
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  Impl(EventLoop& loop,
+       core::Endpoint to,
+       std::size_t connections,
+       std::size_t body_limit)
+      : m_loop(loop),
+        m_to(std::move(to)),
+        m_most_connections(connections),
+        m_body_limit(body_limit) {}
+
+  ~Impl() {
+    m_is_closing = true;
+    for (auto& [id, call] : m_calls) {
+      if (call.m_connection != nullptr) {
+        evhttp_connection_free(call.m_connection);
+      }
+    }
+    for (evhttp_connection* connection : m_idle) {
+      evhttp_connection_free(connection);
+    }
+  }
+
+  HttpCallId Send(const wire::HttpRequest& request,
+                  core::Duration timeout,
+                  Callback callback) {
+    const HttpCallId id{++m_last_id};
+    Call& call = m_calls[id];
+    call.m_impl = this;
+    call.m_id = id;
+    call.m_callback = std::move(callback);
+    call.m_deadline = ReadClocks().m_time + std::max(timeout, kLeastTimeout);
+    if (!m_idle.empty() || m_open < m_most_connections) {
+      Start(call, request);
+    } else {
+      call.m_waiting = request;
+      m_queue.push_back(id);
+    }
+    return id;
+  }
+
+  void Cancel(HttpCallId id) {
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end()) {
+      return;
+    }
+    evhttp_connection* connection = it->second.m_connection;
+    std::erase(m_queue, id);
+    it->second.m_is_cancelled = true;
+    if (connection != nullptr) {
+      --m_open;
+      evhttp_connection_free(connection);
+    }
+    m_calls.erase(id);
+    StartWaiting();
+  }
+
+  std::size_t connections() const noexcept { return m_open; }
+
+ private:
+  struct Call {
+    Impl* m_impl = nullptr;
+    HttpCallId m_id{0};
+    Callback m_callback;
+    evhttp_connection* m_connection = nullptr;
+    core::Time m_deadline{};
+    std::optional<evhttp_request_error> m_error;
+    bool m_is_cancelled = false;
+    wire::HttpRequest m_waiting;
+  };
+
+  evhttp_connection* TakeConnection() {
+    if (!m_idle.empty()) {
+      evhttp_connection* connection = m_idle.back();
+      m_idle.pop_back();
+      return connection;
+    }
+    ++m_open;
+    evhttp_connection* connection = evhttp_connection_base_new(
+        m_loop.base(), nullptr, m_to.m_host.c_str(), m_to.m_port);
+    evhttp_connection_set_max_body_size(connection,
+                                        static_cast<ev_ssize_t>(m_body_limit));
+    return connection;
+  }
+
+  void Start(Call& call, const wire::HttpRequest& request) {
+    const auto method = FindMethod(request.m_method);
+    if (!method) {
+      Finish(call.m_id, tl::unexpected(HttpClientError::kUnsupportedMethod));
+      return;
+    }
+    call.m_connection = TakeConnection();
+    const auto left = std::max((call.m_deadline - ReadClocks().m_time).count(),
+                               kLeastTimeout.count());
+    const timeval timeout{left / kMicrosPerSecond, left % kMicrosPerSecond};
+    evhttp_connection_set_timeout_tv(call.m_connection, &timeout);
+    evhttp_request* message = evhttp_request_new(&OnDone, &call);
+    evhttp_request_set_error_cb(message, &OnError);
+    evkeyvalq* headers = evhttp_request_get_output_headers(message);
+    for (const wire::Header& header : request.m_headers) {
+      evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
+    }
+    if (!request.m_body.empty()) {
+      evbuffer_add(evhttp_request_get_output_buffer(message),
+                   request.m_body.data(), request.m_body.size());
+      if (*method == EVHTTP_REQ_GET || *method == EVHTTP_REQ_DELETE ||
+          *method == EVHTTP_REQ_OPTIONS || *method == EVHTTP_REQ_HEAD) {
+        evhttp_add_header(headers, "Content-Length",
+                          std::to_string(request.m_body.size()).c_str());
+      }
+    }
+    evhttp_make_request(call.m_connection, message, *method,
+                        request.m_path.c_str());
+  }
+
+  static void OnError(evhttp_request_error error, void* arg) {
+    static_cast<Call*>(arg)->m_error = error;
+  }
+
+  // Without an error report the connection was never made.
+  static void OnDone(evhttp_request* request, void* arg) {
+    auto* call = static_cast<Call*>(arg);
+    Impl* impl = call->m_impl;
+    if (impl->m_is_closing || call->m_is_cancelled) {
+      return;
+    }
+    const bool is_answered =
+        request != nullptr && evhttp_request_get_response_code(request) != 0;
+    if (is_answered) {
+      impl->m_idle.push_back(call->m_connection);
+      impl->Finish(call->m_id, ReadResponse(request));
+      return;
+    }
+    const HttpClientError error = call->m_error ? ToClientError(*call->m_error)
+                                                : HttpClientError::kNotSent;
+    impl->Retire(call->m_connection);
+    impl->Finish(call->m_id, tl::unexpected(error));
+  }
+
+  // The library still uses the connection when it reports a failure.
+  void Retire(evhttp_connection* connection) {
+    --m_open;
+    m_retired.push_back(connection);
+    m_sweep.Set(core::Duration::zero());
+  }
+
+  void Finish(HttpCallId id, Result&& result) {
+    auto node = m_calls.extract(id);
+    if (!node.empty()) {
+      node.mapped().m_callback(std::move(result));
+    }
+    StartWaiting();
+  }
+
+  void StartWaiting() {
+    while (!m_queue.empty() &&
+           (!m_idle.empty() || m_open < m_most_connections)) {
+      Call& call = m_calls.at(m_queue.front());
+      m_queue.pop_front();
+      const wire::HttpRequest request = std::move(call.m_waiting);
+      Start(call, request);
+    }
+  }
+
+  void Sweep() {
+    for (evhttp_connection* connection : std::exchange(m_retired, {})) {
+      evhttp_connection_free(connection);
+    }
+  }
+
+  EventLoop& m_loop;
+  core::Endpoint m_to;
+  std::size_t m_most_connections;
+  std::size_t m_body_limit;
+  std::size_t m_open = 0;
+  bool m_is_closing = false;
+  std::uint64_t m_last_id = 0;
+  std::unordered_map<HttpCallId, Call> m_calls;
+  std::deque<HttpCallId> m_queue;
+  std::vector<evhttp_connection*> m_idle;
+  std::vector<evhttp_connection*> m_retired;
+  Timer m_sweep{m_loop, [this] { Sweep(); }};
+};
+
+HttpClient::HttpClient(EventLoop& loop,
+                       core::Endpoint to,
+                       std::size_t connections,
+                       std::size_t body_limit)
+    : m_impl(std::make_unique<Impl>(loop,
+                                    std::move(to),
+                                    connections,
+                                    body_limit)) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpCallId HttpClient::Send(const wire::HttpRequest& request,
+                            core::Duration timeout,
+                            Callback callback) {
+  return m_impl->Send(request, timeout, std::move(callback));
+}
+
+void HttpClient::Cancel(HttpCallId id) {
+  m_impl->Cancel(id);
+}
+
+std::size_t HttpClient::connections() const noexcept {
+  return m_impl->connections();
+}
+
+}  // namespace figlug::runtime
--- /dev/null
+++ b/runtime/src/http_front.cc
@@ -0,0 +1,262 @@
+#include "figlug/runtime/http_front.h"
+
+#include <evhtp.h>
+
+#include <array>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace figlug::runtime {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr int kTooLarge = 413;
+/// A body this many times over the limit is not read to its end.
+constexpr std::size_t kPatience = 4;
+
+std::string MethodName(evhtp_request_t* request) {
+  return htparser_get_methodstr_m(evhtp_request_get_method(request));
+}
+
+std::string FullPath(evhtp_request_t* request) {
+  const evhtp_uri_t* uri = request->uri;
+  std::string path = uri->path->full;
+  if (uri->query_raw != nullptr && uri->query_raw[0] != '\0') {
+    path += "?";
+    path += reinterpret_cast<const char*>(uri->query_raw);
+  }
+  return path;
+}
+
+int CopyHeader(evhtp_header_t* header, void* out) {
+  static_cast<wire::Headers*>(out)->push_back(
+      {std::string(header->key, header->klen),
+       std::string(header->val, header->vlen)});
+  return 0;
+}
+
+}  // namespace
+
+class HttpFront::Impl {
+ public:
+  Impl(EventLoop& loop, HttpFrontHandlers handlers, std::size_t body_limit)
+      : m_loop(loop),
+        m_handlers(std::move(handlers)),
+        m_body_limit(body_limit),
+        m_server(evhtp_new(loop.base(), nullptr)) {
+    evhtp_set_gencb(m_server, &OnRequest, this);
+    evhtp_set_post_accept_cb(m_server, &OnAccept, this);
+  }
+
+  ~Impl() {
+    m_is_closing = true;
+    while (!m_connections.empty()) {
+      evhtp_connection_free(m_connections.begin()->first);
+    }
+    if (m_is_listening) {
+      evhtp_unbind_socket(m_server);
+    }
+    evhtp_free(m_server);
+  }
+
+  tl::expected<void, RuntimeError> Listen(const core::Endpoint& endpoint) {
+    if (evhtp_bind_socket(m_server, endpoint.m_host.c_str(), endpoint.m_port,
+                          kBacklog) != 0) {
+      return tl::unexpected(
+          RuntimeError{"listen for HTTP on " + endpoint.m_host + ":" +
+                           std::to_string(endpoint.m_port),
+                       evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())});
+    }
+    m_is_listening = true;
+    return {};
+  }
+
+  void StopListening() {
+    if (m_is_listening) {
+      evhtp_unbind_socket(m_server);
+      m_is_listening = false;
+    }
+  }
+
+  void Respond(ExchangeId id, const wire::HttpResponse& response) {
+    const auto it = m_exchanges.find(id);
+    if (it == m_exchanges.end()) {
+      return;
+    }
+    evhtp_request_t* request = it->second;
+    m_exchanges.erase(it);
+    Connection& connection = m_connections[request->conn];
+    connection.m_exchange.reset();
+    event_del(connection.m_closed);
+    Write(request, response);
+    evhtp_request_resume(request);
+  }
+
+  std::size_t open_exchanges() const noexcept { return m_exchanges.size(); }
+  std::size_t connections() const noexcept { return m_connections.size(); }
+
+ private:
+  struct Connection {
+    Impl* m_impl = nullptr;
+    evhtp_connection_t* m_handle = nullptr;
+    /// Tells of a client that leaves while its request is being handled.
+    event* m_closed = nullptr;
+    std::optional<ExchangeId> m_exchange;
+    std::optional<wire::HttpResponse> m_refusal;
+    std::size_t m_body_bytes = 0;
+  };
+
+  static evhtp_res OnAccept(evhtp_connection_t* handle, void* arg) {
+    auto* impl = static_cast<Impl*>(arg);
+    Connection& connection = impl->m_connections[handle];
+    connection.m_impl = impl;
+    connection.m_handle = handle;
+    connection.m_closed = event_new(impl->m_loop.base(), handle->sock,
+                                    EV_CLOSED, &OnClosed, &connection);
+    const auto set = [&](evhtp_hook_type type, auto hook) {
+      evhtp_connection_set_hook(
+          handle, type,
+          reinterpret_cast<evhtp_hook>(reinterpret_cast<void*>(hook)),
+          &connection);
+    };
+    set(evhtp_hook_on_headers, &OnHeaders);
+    set(evhtp_hook_on_read, &OnBody);
+    set(evhtp_hook_on_connection_fini, &OnFini);
+    return EVHTP_RES_OK;
+  }
+
+  static evhtp_res OnHeaders(evhtp_request_t* request,
+                             evhtp_headers_t*,
+                             void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    connection->m_body_bytes = 0;
+    connection->m_refusal =
+        connection->m_impl->m_handlers.m_screen(ReadHead(request));
+    return EVHTP_RES_OK;
+  }
+
+  // The bytes of a request that is refused are not kept.
+  static evhtp_res OnBody(evhtp_request_t*, evbuffer* bytes, void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    const std::size_t limit = connection->m_impl->m_body_limit;
+    connection->m_body_bytes += evbuffer_get_length(bytes);
+    if (connection->m_body_bytes > limit && !connection->m_refusal) {
+      connection->m_refusal = wire::HttpResponse{
+          kTooLarge,
+          {{"Figlug-Outcome", "not-run"}, {"Connection", "close"}},
+          "body is over the limit of " + std::to_string(limit) + " bytes\n"};
+    }
+    if (connection->m_refusal) {
+      evbuffer_drain(bytes, evbuffer_get_length(bytes));
+    }
+    return connection->m_body_bytes > kPatience * limit ? EVHTP_RES_ERROR
+                                                        : EVHTP_RES_OK;
+  }
+
+  static void OnRequest(evhtp_request_t* request, void* arg) {
+    auto* impl = static_cast<Impl*>(arg);
+    Connection& connection = impl->m_connections[request->conn];
+    if (connection.m_refusal) {
+      impl->Write(request, *connection.m_refusal);
+      connection.m_refusal.reset();
+      return;
+    }
+    wire::HttpRequest whole = ReadHead(request);
+    const std::size_t length = evbuffer_get_length(request->buffer_in);
+    whole.m_body.resize(length);
+    evbuffer_remove(request->buffer_in, whole.m_body.data(), length);
+    const ExchangeId id{++impl->m_last_id};
+    impl->m_exchanges[id] = request;
+    connection.m_exchange = id;
+    evhtp_request_pause(request);
+    event_add(connection.m_closed, nullptr);
+    impl->m_handlers.m_on_request(id, std::move(whole));
+  }
+
+  static void OnClosed(evutil_socket_t, short, void* arg) {
+    evhtp_connection_free(static_cast<Connection*>(arg)->m_handle);
+  }
+
+  static evhtp_res OnFini(evhtp_connection_t* handle, void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    Impl* impl = connection->m_impl;
+    const std::optional<ExchangeId> exchange = connection->m_exchange;
+    event_free(connection->m_closed);
+    impl->m_connections.erase(handle);
+    if (exchange) {
+      impl->m_exchanges.erase(*exchange);
+      if (!impl->m_is_closing) {
+        impl->m_handlers.m_on_gone(*exchange);
+      }
+    }
+    return EVHTP_RES_OK;
+  }
+
+  static wire::HttpRequest ReadHead(evhtp_request_t* request) {
+    wire::HttpRequest head;
+    head.m_method = MethodName(request);
+    head.m_path = FullPath(request);
+    evhtp_headers_for_each(request->headers_in, &CopyHeader, &head.m_headers);
+    return head;
+  }
+
+  void Write(evhtp_request_t* request, const wire::HttpResponse& response) {
+    const auto add = [&](const std::string& name, const std::string& value) {
+      evhtp_headers_add_header(
+          request->headers_out,
+          evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+    };
+    for (const wire::Header& header : response.m_headers) {
+      add(header.m_name, header.m_value);
+    }
+    if (!m_is_listening &&
+        wire::FindHeader(response.m_headers, "Connection") == nullptr) {
+      add("Connection", "close");
+      evhtp_request_set_keepalive(request, 0);
+    }
+    evbuffer_add(request->buffer_out, response.m_body.data(),
+                 response.m_body.size());
+    evhtp_send_reply(request, static_cast<evhtp_res>(response.m_status));
+  }
+
+  EventLoop& m_loop;
+  HttpFrontHandlers m_handlers;
+  std::size_t m_body_limit;
+  evhtp_t* m_server;
+  bool m_is_listening = false;
+  bool m_is_closing = false;
+  std::uint64_t m_last_id = 0;
+  std::unordered_map<ExchangeId, evhtp_request_t*> m_exchanges;
+  std::unordered_map<evhtp_connection_t*, Connection> m_connections;
+};
+
+HttpFront::HttpFront(EventLoop& loop,
+                     HttpFrontHandlers handlers,
+                     std::size_t body_limit)
+    : m_impl(std::make_unique<Impl>(loop, std::move(handlers), body_limit)) {}
+
+HttpFront::~HttpFront() = default;
+
+tl::expected<void, RuntimeError> HttpFront::Listen(
+    const core::Endpoint& endpoint) {
+  return m_impl->Listen(endpoint);
+}
+
+void HttpFront::StopListening() {
+  m_impl->StopListening();
+}
+
+void HttpFront::Respond(ExchangeId id, const wire::HttpResponse& response) {
+  m_impl->Respond(id, response);
+}
+
+std::size_t HttpFront::open_exchanges() const noexcept {
+  return m_impl->open_exchanges();
+}
+
+std::size_t HttpFront::connections() const noexcept {
+  return m_impl->connections();
+}
+
+}  // namespace figlug::runtime
--- /dev/null
+++ b/runtime/src/http_log_client.cc
@@ -0,0 +1,56 @@
+#include "figlug/runtime/http_log_client.h"
+
+#include <string>
+#include <utility>
+
+namespace figlug::runtime {
+namespace {
+
+constexpr std::size_t kReadConnections = 1;
+constexpr std::size_t kAppendConnections = 2;
+constexpr std::size_t kMostPageBytes = 64U << 20;
+constexpr core::Duration kTimeout = std::chrono::seconds(2);
+constexpr std::uint16_t kOk = 200;
+
+std::string Number(std::uint64_t value) {
+  return std::to_string(value);
+}
+
+}  // namespace
+
+HttpLogClient::HttpLogClient(EventLoop& loop, const core::Endpoint& to)
+    : m_reads(loop, to, kReadConnections, kMostPageBytes),
+      m_appends(loop, to, kAppendConnections, kMostPageBytes) {}
+
+// The reply says nothing that the fold will not show, so it is not used.
+void HttpLogClient::Append(core::AppendId id, const core::Record& record) {
+  m_appends.Send({"POST",
+                  "/v1/records",
+                  {{"Content-Type", "application/octet-stream"}},
+                  wire::EncodeRecord(id, record)},
+                 kTimeout, [](HttpClient::Result&&) {});
+}
+
+void HttpLogClient::Read(core::Offset from,
+                         core::Duration wait,
+                         OnPage on_page) {
+  const auto wait_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  const std::string path = "/v1/records?from=" + Number(from) + "&wait_ms=" +
+                           Number(static_cast<std::uint64_t>(wait_ms));
+  m_reads.Send({"GET", path, {}, ""}, wait + kTimeout,
+               [on_page = std::move(on_page)](HttpClient::Result&& result) {
+                 if (!result || result->m_status != kOk) {
+                   on_page(std::nullopt);
+                   return;
+                 }
+                 auto page = wire::ParseLogPage(result->m_body);
+                 if (!page) {
+                   on_page(std::nullopt);
+                   return;
+                 }
+                 on_page(std::move(*page));
+               });
+}
+
+}  // namespace figlug::runtime
--- /dev/null
+++ b/runtime/src/peer_transport.cc
@@ -0,0 +1,272 @@
+#include "figlug/runtime/peer_transport.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <cstring>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "figlug/runtime/impl/socket_address.h"
+
+namespace figlug::runtime {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr timeval kConnectTimeout{0, 300'000};
+/// A peer that takes nothing for so long is given up.
+constexpr timeval kWriteTimeout{5, 0};
+
+std::string_view Peek(evbuffer* input, std::size_t length) {
+  return {reinterpret_cast<const char*>(
+              evbuffer_pullup(input, static_cast<ev_ssize_t>(length))),
+          length};
+}
+
+void SetNoDelay(evutil_socket_t socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace
+
+class PeerTransport::Impl {
+ public:
+  Impl(EventLoop& loop, PeerHandlers handlers)
+      : m_loop(loop),
+        m_handlers(std::move(handlers)),
+        m_sweep(loop, [this] { m_retired.clear(); }) {}
+
+  ~Impl() {
+    if (m_listener != nullptr) {
+      evconnlistener_free(m_listener);
+    }
+  }
+
+  tl::expected<void, RuntimeError> Listen(const core::Endpoint& endpoint) {
+    const sockaddr_in address = impl::ToSocketAddress(endpoint);
+    m_listener = evconnlistener_new_bind(
+        m_loop.base(), &OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        kBacklog, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    if (m_listener == nullptr) {
+      return tl::unexpected(
+          RuntimeError{"listen for peers on " + endpoint.m_host + ":" +
+                           std::to_string(endpoint.m_port),
+                       evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())});
+    }
+    return {};
+  }
+
+  void SendAttempt(const core::Endpoint& to, const wire::AttemptFrame& frame) {
+    Connection& connection = Connect(to);
+    connection.m_attempts.insert(frame.m_attempt);
+    Write(connection, frame);
+  }
+
+  void Send(const core::Endpoint& to, const wire::Frame& frame) {
+    Write(Connect(to), frame);
+  }
+
+  void Reply(PeerConnectionId to, const wire::ReplyFrame& frame) {
+    const auto it = m_inbound.find(to);
+    if (it != m_inbound.end()) {
+      Write(*it->second, frame);
+    }
+  }
+
+  std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
+
+ private:
+  struct Connection {
+    ~Connection() {
+      if (m_stream != nullptr) {
+        bufferevent_free(m_stream);
+      }
+    }
+    Impl* m_impl = nullptr;
+    bufferevent* m_stream = nullptr;
+    /// Set for connections that a peer has opened.
+    PeerConnectionId m_id{0};
+    /// Set for connections that this process has opened.
+    core::Endpoint m_to;
+    bool m_is_connected = false;
+    std::set<core::AttemptId> m_attempts;
+  };
+  using Key = std::pair<std::string, std::uint16_t>;
+
+  static Key KeyOf(const core::Endpoint& endpoint) {
+    return {endpoint.m_host, endpoint.m_port};
+  }
+
+  Connection& Connect(const core::Endpoint& to) {
+    std::unique_ptr<Connection>& slot = m_outbound[KeyOf(to)];
+    if (slot) {
+      return *slot;
+    }
+    slot = std::make_unique<Connection>();
+    slot->m_impl = this;
+    slot->m_to = to;
+    Attach(*slot, -1);
+    bufferevent_set_timeouts(slot->m_stream, nullptr, &kConnectTimeout);
+    const sockaddr_in address = impl::ToSocketAddress(to);
+    bufferevent_socket_connect(slot->m_stream,
+                               reinterpret_cast<const sockaddr*>(&address),
+                               sizeof(address));
+    return *slot;
+  }
+
+  void Attach(Connection& connection, evutil_socket_t socket) {
+    connection.m_stream = bufferevent_socket_new(
+        m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(connection.m_stream, &OnReadable, nullptr, &OnEvent,
+                      &connection);
+    bufferevent_enable(connection.m_stream, EV_READ | EV_WRITE);
+  }
+
+  static void OnAccept(evconnlistener*,
+                       evutil_socket_t socket,
+                       sockaddr*,
+                       int,
+                       void* arg) {
+    auto* impl = static_cast<Impl*>(arg);
+    SetNoDelay(socket);
+    const PeerConnectionId id{++impl->m_last_id};
+    auto connection = std::make_unique<Connection>();
+    connection->m_impl = impl;
+    connection->m_id = id;
+    connection->m_is_connected = true;
+    impl->Attach(*connection, socket);
+    bufferevent_set_timeouts(connection->m_stream, nullptr, &kWriteTimeout);
+    impl->m_inbound[id] = std::move(connection);
+  }
+
+  void Write(Connection& connection, const wire::Frame& frame) {
+    const std::string head = wire::EncodeFrameHead(frame);
+    const std::string_view body = wire::BodyOf(frame);
+    evbuffer* output = bufferevent_get_output(connection.m_stream);
+    evbuffer_add(output, head.data(), head.size());
+    evbuffer_add(output, body.data(), body.size());
+    m_bytes_sent += head.size() + body.size();
+  }
+
+  static void OnReadable(bufferevent* stream, void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    Impl* impl = connection->m_impl;
+    evbuffer* input = bufferevent_get_input(stream);
+    while (evbuffer_get_length(input) >= wire::kFramePrefixBytes) {
+      const auto prefix =
+          wire::ParseFramePrefix(Peek(input, wire::kFramePrefixBytes));
+      if (!prefix) {
+        impl->Drop(*connection);
+        return;
+      }
+      const std::size_t length =
+          wire::kFramePrefixBytes + prefix->m_head + prefix->m_body;
+      if (evbuffer_get_length(input) < length) {
+        return;
+      }
+      const std::string_view bytes = Peek(input, length);
+      auto frame = wire::ParseFrame(
+          bytes.substr(wire::kFramePrefixBytes, prefix->m_head),
+          bytes.substr(wire::kFramePrefixBytes + prefix->m_head));
+      evbuffer_drain(input, length);
+      if (!frame) {
+        impl->Drop(*connection);
+        return;
+      }
+      impl->OnFrame(*connection, std::move(*frame));
+    }
+  }
+
+  void OnFrame(Connection& connection, wire::Frame&& frame) {
+    if (auto* reply = std::get_if<wire::ReplyFrame>(&frame)) {
+      if (connection.m_attempts.erase(reply->m_attempt) > 0) {
+        m_handlers.m_on_reply(std::move(*reply));
+      }
+      return;
+    }
+    m_handlers.m_on_frame(connection.m_id, std::move(frame));
+  }
+
+  static void OnEvent(bufferevent* stream, short events, void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    if ((events & BEV_EVENT_CONNECTED) != 0) {
+      connection->m_is_connected = true;
+      SetNoDelay(bufferevent_getfd(stream));
+      bufferevent_set_timeouts(stream, nullptr, &kWriteTimeout);
+      return;
+    }
+    connection->m_impl->Drop(*connection);
+  }
+
+  // The library may still be inside a callback of this connection, so it is
+  // freed on the next turn of the loop.
+  void Drop(Connection& connection) {
+    bufferevent_disable(connection.m_stream, EV_READ | EV_WRITE);
+    bufferevent_setcb(connection.m_stream, nullptr, nullptr, nullptr, nullptr);
+    m_sweep.Set(core::Duration::zero());
+    if (connection.m_id != PeerConnectionId{0}) {
+      const PeerConnectionId id = connection.m_id;
+      const auto it = m_inbound.find(id);
+      m_retired.push_back(std::move(it->second));
+      m_inbound.erase(it);
+      m_handlers.m_on_closed(id);
+      return;
+    }
+    const auto it = m_outbound.find(KeyOf(connection.m_to));
+    m_retired.push_back(std::move(it->second));
+    m_outbound.erase(it);
+    const bool was_sent = connection.m_is_connected;
+    for (core::AttemptId attempt : std::exchange(connection.m_attempts, {})) {
+      m_handlers.m_on_lost(attempt, was_sent);
+    }
+  }
+
+  EventLoop& m_loop;
+  PeerHandlers m_handlers;
+  evconnlistener* m_listener = nullptr;
+  std::uint64_t m_last_id = 0;
+  std::uint64_t m_bytes_sent = 0;
+  std::map<Key, std::unique_ptr<Connection>> m_outbound;
+  std::map<PeerConnectionId, std::unique_ptr<Connection>> m_inbound;
+  std::vector<std::unique_ptr<Connection>> m_retired;
+  Timer m_sweep;
+};
+
+PeerTransport::PeerTransport(EventLoop& loop, PeerHandlers handlers)
+    : m_impl(std::make_unique<Impl>(loop, std::move(handlers))) {}
+
+PeerTransport::~PeerTransport() = default;
+
+tl::expected<void, RuntimeError> PeerTransport::Listen(
+    const core::Endpoint& endpoint) {
+  return m_impl->Listen(endpoint);
+}
+
+void PeerTransport::SendAttempt(const core::Endpoint& to,
+                                const wire::AttemptFrame& frame) {
+  m_impl->SendAttempt(to, frame);
+}
+
+void PeerTransport::Send(const core::Endpoint& to, const wire::Frame& frame) {
+  m_impl->Send(to, frame);
+}
+
+void PeerTransport::Reply(PeerConnectionId to, const wire::ReplyFrame& frame) {
+  m_impl->Reply(to, frame);
+}
+
+std::uint64_t PeerTransport::bytes_sent() const noexcept {
+  return m_impl->bytes_sent();
+}
+
+}  // namespace figlug::runtime
--- /dev/null
+++ b/settings/include/figlug/settings/profile_file.h
@@ -0,0 +1,24 @@
+#ifndef FIGLUG_SETTINGS_PROFILE_FILE_H_
+#define FIGLUG_SETTINGS_PROFILE_FILE_H_
+
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+#include "figlug/core/profile.h"
+#include "figlug/settings/settings_error.h"
+
+namespace figlug::settings {
+
+/// \brief Reads a profile from the section `[profile]` of an INI text.
+/// \param file Name for errors.
+/// \code
+/// auto profile = ParseProfile("orders.ini", text);
+/// \endcode
+[[nodiscard]] tl::expected<core::Profile, SettingsError> ParseProfile(
+    std::string_view file,
+    std::string_view text);
+
+}  // namespace figlug::settings
+
+#endif  // FIGLUG_SETTINGS_PROFILE_FILE_H_
--- /dev/null
+++ b/testing/src/target_stand_in_main.cc
@@ -0,0 +1,48 @@
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "figlug/settings/address.h"
+#include "figlug/testing/target_stand_in.h"
+
+int main(int argc, char** argv) {
+  using Number = TCLAP::ValueArg<std::uint32_t>;
+  using Text = TCLAP::ValueArg<std::string>;
+  TCLAP::CmdLine command("Target that records its runs, for tests", ' ', "0.1");
+  Text listen("l", "listen", "Address to listen on", true, "", "IP:PORT",
+              command);
+  Text name("n", "name", "Name of the target", true, "", "NAME", command);
+  Text region("r", "region", "Region it stands in", false, "", "NAME", command);
+  Text records("o", "records", "File for a line a run", false, "", "FILE",
+               command);
+  Number slots("s", "slots", "Requests at once", false, 9, "N", command);
+  Number service_us("t", "service-us", "Time of a request, microseconds", false,
+                    2000, "N", command);
+  Number cold_ms("c", "cold-ms", "Time of the cold start, milliseconds", false,
+                 0, "N", command);
+  TCLAP::SwitchArg no_fence("f", "no-fence", "Accept any fence", command);
+  command.parse(argc, argv);
+
+  const auto endpoint = figlug::settings::ParseAddress(listen.getValue());
+  if (!endpoint) {
+    std::cerr << "target_stand_in: bad address " << listen.getValue() << '\n';
+    return 2;
+  }
+  figlug::runtime::EventLoop loop;
+  figlug::testing::TargetStandIn target(
+      loop, {.m_name = name.getValue(),
+             .m_region = region.getValue(),
+             .m_slots = slots.getValue(),
+             .m_service_time = figlug::core::Duration(service_us.getValue()),
+             .m_cold_time = std::chrono::milliseconds(cold_ms.getValue()),
+             .m_checks_fence = !no_fence.getValue(),
+             .m_record_file = records.getValue()});
+  if (const auto bound = target.Listen(*endpoint); !bound) {
+    std::cerr << "target_stand_in: " << ToString(bound.error()) << '\n';
+    return 1;
+  }
+  figlug::runtime::SignalHandler on_term(loop, SIGTERM, [&] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
--- /dev/null
+++ b/wire/include/figlug/wire/log_codec.h
@@ -0,0 +1,49 @@
+#ifndef FIGLUG_WIRE_LOG_CODEC_H_
+#define FIGLUG_WIRE_LOG_CODEC_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "figlug/core/ids.h"
+#include "figlug/core/record.h"
+#include "figlug/wire/wire_error.h"
+
+namespace figlug::wire {
+
+/// \brief A record's bytes at their offset.
+struct RawEntry {
+  core::Offset m_offset = 0;
+  std::string m_data;
+};
+
+/// \brief What the log service answers to a read.
+struct LogPage {
+  /// Offset of the oldest record kept.
+  core::Offset m_first = 0;
+  /// Offset that the next append gets.
+  core::Offset m_next = 0;
+  std::vector<RawEntry> m_entries;
+};
+
+/// \brief Writes a record with its append id.
+[[nodiscard]] std::string EncodeRecord(core::AppendId id,
+                                       const core::Record& record);
+/// \brief Reads a record; bytes that are none give an UnreadableRecord.
+/// \code
+/// core::LogEntry entry = ParseRecord(raw.m_offset, raw.m_data);
+/// \endcode
+[[nodiscard]] core::LogEntry ParseRecord(core::Offset offset,
+                                         std::string_view bytes);
+
+/// \brief Writes the log service's answer to a read.
+[[nodiscard]] std::string EncodeLogPage(const LogPage& page);
+/// \brief Reads the log service's answer to a read.
+[[nodiscard]] tl::expected<LogPage, WireError> ParseLogPage(
+    std::string_view bytes);
+
+}  // namespace figlug::wire
+
+#endif  // FIGLUG_WIRE_LOG_CODEC_H_
--- /dev/null
+++ b/wire/include/figlug/wire/wire_error.h
@@ -0,0 +1,15 @@
+#ifndef FIGLUG_WIRE_WIRE_ERROR_H_
+#define FIGLUG_WIRE_WIRE_ERROR_H_
+
+#include <string>
+
+namespace figlug::wire {
+
+/// \brief Bytes that are not a message of ours.
+struct WireError {
+  std::string m_detail;
+};
+
+}  // namespace figlug::wire
+
+#endif  // FIGLUG_WIRE_WIRE_ERROR_H_
--- /dev/null
+++ b/wire/schema/peer.capnp
@@ -0,0 +1,86 @@
+@0xd9a7e1c0b5f24836;
+# Messages between figlug processes.
+
+using Cxx = import "/capnp/c++.capnp";
+using Log = import "log.capnp";
+$Cxx.namespace("figlug::wire::schema");
+
+struct Datagram {
+  union {
+    heartbeat :group {
+      member @0 :UInt64;
+      generation @1 :UInt32;
+      proposed @2 :UInt32;
+      sentAtUs @3 :Int64;
+      next @4 :UInt64;
+    }
+    ack :group {
+      watcher @5 :UInt64;
+      member @6 :UInt64;
+      generation @7 :UInt32;
+      proposed @8 :UInt32;
+      sentAtUs @9 :Int64;
+      next @10 :UInt64;
+    }
+  }
+}
+
+struct RequestId {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct AttemptHead {
+  service @0 :Text;
+  slice @1 :UInt32;
+  requestId @2 :RequestId;
+  hasCallerId @3 :Bool;
+  timeLeftUs @4 :Int64;
+}
+
+struct ReleasedSlice {
+  slice @0 :UInt32;
+  lostAt @1 :UInt64;
+  unknownBeforeMs @2 :Int64;
+  ids @3 :List(RequestId);
+}
+
+struct Frame {
+  # Head of a frame on a peer connection; a body may follow it.
+  union {
+    attempt :group {
+      attempt @0 :UInt64;
+      head @1 :AttemptHead;
+      method @2 :Text;
+      path @3 :Text;
+      headers @4 :List(Header);
+    }
+    reply :group {
+      attempt @5 :UInt64;
+      outcome @6 :UInt8;
+      reason @7 :UInt8;
+      status @8 :UInt16;
+      headers @9 :List(Header);
+    }
+    cancel @10 :UInt64;
+    releaseQuery :group {
+      from @11 :UInt64;
+      slices @12 :List(UInt32);
+    }
+    release :group {
+      from @13 :UInt64;
+      folded @14 :UInt64;
+      slices @15 :List(ReleasedSlice);
+    }
+    recordsQuery :group {
+      from @16 :UInt64;
+      next @17 :UInt64;
+    }
+    records @18 :List(Log.RawEntry);
+  }
+}
--- /dev/null
+++ b/wire/src/frame.cc
@@ -0,0 +1,323 @@
+#include "figlug/wire/frame.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "figlug/wire/impl/message_bytes.h"
+#include "figlug/wire/log_codec.h"
+#include "generated/peer.capnp.h"
+
+namespace figlug::wire {
+namespace {
+
+using core::Duration;
+using core::MemberId;
+using core::Time;
+
+unsigned Size(const auto& container) {
+  return static_cast<unsigned>(container.size());
+}
+
+std::uint64_t Raw(MemberId id) {
+  return static_cast<std::uint64_t>(id);
+}
+
+std::string Text(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+void Write(capnp::List<schema::Header>::Builder out, const Headers& headers) {
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out[i].setName(headers[i].m_name);
+    out[i].setValue(headers[i].m_value);
+  }
+}
+
+Headers Read(capnp::List<schema::Header>::Reader in) {
+  Headers headers;
+  headers.reserve(in.size());
+  for (auto header : in) {
+    headers.push_back({Text(header.getName()), Text(header.getValue())});
+  }
+  return headers;
+}
+
+void Write(schema::RequestId::Builder out, const core::RequestId& id) {
+  out.setHigh(id.m_high);
+  out.setLow(id.m_low);
+}
+
+core::RequestId Read(schema::RequestId::Reader in) {
+  return {in.getHigh(), in.getLow()};
+}
+
+template <class List>
+void WriteSlices(List list, const std::vector<core::SliceIndex>& slices) {
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list.set(i, slices[i]);
+  }
+}
+
+struct PeerMessageWriter {
+  schema::Frame::Builder m_out;
+
+  void operator()(const core::ReleaseQuery& query) {
+    auto out = m_out.initReleaseQuery();
+    out.setFrom(Raw(query.m_from));
+    WriteSlices(out.initSlices(Size(query.m_slices)), query.m_slices);
+  }
+  void operator()(const core::Release& release) {
+    auto out = m_out.initRelease();
+    out.setFrom(Raw(release.m_from));
+    out.setFolded(release.m_folded);
+    auto slices = out.initSlices(Size(release.m_slices));
+    for (unsigned i = 0; i < slices.size(); ++i) {
+      const core::ReleasedSlice& slice = release.m_slices[i];
+      slices[i].setSlice(slice.m_slice);
+      slices[i].setLostAt(slice.m_lost_at);
+      slices[i].setUnknownBeforeMs(
+          slice.m_ids.m_unknown_before.time_since_epoch().count());
+      auto ids = slices[i].initIds(Size(slice.m_ids.m_ids));
+      unsigned j = 0;
+      for (const core::RequestId& id : slice.m_ids.m_ids) {
+        Write(ids[j++], id);
+      }
+    }
+  }
+  void operator()(const core::RecordsQuery& query) {
+    auto out = m_out.initRecordsQuery();
+    out.setFrom(Raw(query.m_from));
+    out.setNext(query.m_next);
+  }
+  void operator()(const core::Records& records) {
+    auto out = m_out.initRecords(Size(records.m_entries));
+    for (unsigned i = 0; i < out.size(); ++i) {
+      const core::LogEntry& entry = records.m_entries[i];
+      const std::string data = EncodeRecord(entry.m_append_id, entry.m_record);
+      out[i].setOffset(entry.m_offset);
+      out[i].setData(kj::arrayPtr(
+          reinterpret_cast<const kj::byte*>(data.data()), data.size()));
+    }
+  }
+};
+
+struct FrameWriter {
+  schema::Frame::Builder m_out;
+
+  void operator()(const AttemptFrame& frame) {
+    auto out = m_out.initAttempt();
+    out.setAttempt(static_cast<std::uint64_t>(frame.m_attempt));
+    auto head = out.initHead();
+    head.setService(frame.m_head.m_service);
+    head.setSlice(frame.m_head.m_slice);
+    Write(head.initRequestId(), frame.m_head.m_request_id);
+    head.setHasCallerId(frame.m_head.m_has_caller_id);
+    head.setTimeLeftUs(frame.m_head.m_time_left.count());
+    out.setMethod(frame.m_request.m_method);
+    out.setPath(frame.m_request.m_path);
+    Write(out.initHeaders(Size(frame.m_request.m_headers)),
+          frame.m_request.m_headers);
+  }
+  void operator()(const ReplyFrame& frame) {
+    auto out = m_out.initReply();
+    out.setAttempt(static_cast<std::uint64_t>(frame.m_attempt));
+    out.setOutcome(static_cast<std::uint8_t>(frame.m_outcome));
+    out.setReason(static_cast<std::uint8_t>(frame.m_reason));
+    out.setStatus(frame.m_response.m_status);
+    Write(out.initHeaders(Size(frame.m_response.m_headers)),
+          frame.m_response.m_headers);
+  }
+  void operator()(const CancelFrame& frame) {
+    m_out.setCancel(static_cast<std::uint64_t>(frame.m_attempt));
+  }
+  void operator()(const core::PeerMessage& message) {
+    std::visit(PeerMessageWriter{m_out}, message);
+  }
+};
+
+Frame ReadAttempt(schema::Frame::Attempt::Reader in, std::string_view body) {
+  AttemptFrame frame;
+  frame.m_attempt = core::AttemptId(in.getAttempt());
+  const auto head = in.getHead();
+  frame.m_head.m_service = Text(head.getService());
+  frame.m_head.m_slice = head.getSlice();
+  frame.m_head.m_request_id = Read(head.getRequestId());
+  frame.m_head.m_has_caller_id = head.getHasCallerId();
+  frame.m_head.m_time_left = Duration(head.getTimeLeftUs());
+  frame.m_request.m_method = Text(in.getMethod());
+  frame.m_request.m_path = Text(in.getPath());
+  frame.m_request.m_headers = Read(in.getHeaders());
+  frame.m_request.m_body = body;
+  return frame;
+}
+
+// An outcome that this version does not know is no proof that nothing ran.
+Frame ReadReply(schema::Frame::Reply::Reader in, std::string_view body) {
+  ReplyFrame frame;
+  frame.m_attempt = core::AttemptId(in.getAttempt());
+  const std::uint8_t outcome = in.getOutcome();
+  frame.m_outcome =
+      outcome <= static_cast<std::uint8_t>(core::Outcome::kUnknown)
+          ? static_cast<core::Outcome>(outcome)
+          : core::Outcome::kUnknown;
+  frame.m_reason = in.getReason() < core::kReasonCount
+                       ? static_cast<core::Reason>(in.getReason())
+                       : core::Reason::kNone;
+  frame.m_response.m_status = in.getStatus();
+  frame.m_response.m_headers = Read(in.getHeaders());
+  frame.m_response.m_body = body;
+  return frame;
+}
+
+core::PeerMessage ReadRelease(schema::Frame::Release::Reader in) {
+  core::Release release{MemberId(in.getFrom()), in.getFolded(), {}};
+  for (auto slice : in.getSlices()) {
+    core::ReleasedSlice out{slice.getSlice(), slice.getLostAt(), {}};
+    out.m_ids.m_unknown_before =
+        core::WallTime(std::chrono::milliseconds(slice.getUnknownBeforeMs()));
+    for (auto id : slice.getIds()) {
+      out.m_ids.m_ids.insert(Read(id));
+    }
+    release.m_slices.push_back(std::move(out));
+  }
+  return release;
+}
+
+core::PeerMessage ReadReleaseQuery(schema::Frame::ReleaseQuery::Reader in) {
+  core::ReleaseQuery query{MemberId(in.getFrom()), {}};
+  for (std::uint32_t slice : in.getSlices()) {
+    query.m_slices.push_back(slice);
+  }
+  return query;
+}
+
+core::PeerMessage ReadRecords(capnp::List<schema::RawEntry>::Reader in) {
+  core::Records records;
+  for (auto entry : in) {
+    const auto data = entry.getData();
+    records.m_entries.push_back(ParseRecord(
+        entry.getOffset(),
+        {reinterpret_cast<const char*>(data.begin()), data.size()}));
+  }
+  return records;
+}
+
+Frame Read(schema::Frame::Reader in, std::string_view body) {
+  switch (in.which()) {
+    case schema::Frame::ATTEMPT:
+      return ReadAttempt(in.getAttempt(), body);
+    case schema::Frame::REPLY:
+      return ReadReply(in.getReply(), body);
+    case schema::Frame::CANCEL:
+      return CancelFrame{core::AttemptId(in.getCancel())};
+    case schema::Frame::RELEASE_QUERY:
+      return ReadReleaseQuery(in.getReleaseQuery());
+    case schema::Frame::RELEASE:
+      return ReadRelease(in.getRelease());
+    case schema::Frame::RECORDS_QUERY:
+      return core::PeerMessage(
+          core::RecordsQuery{MemberId(in.getRecordsQuery().getFrom()),
+                             in.getRecordsQuery().getNext()});
+    case schema::Frame::RECORDS:
+      return ReadRecords(in.getRecords());
+  }
+  return CancelFrame{};
+}
+
+void AppendWord(std::string& out, std::uint32_t word) {
+  for (int shift : {24, 16, 8, 0}) {
+    out.push_back(static_cast<char>(word >> shift & 0xff));
+  }
+}
+
+std::uint32_t ReadWord(std::string_view bytes) {
+  std::uint32_t word = 0;
+  for (char byte : bytes.substr(0, 4)) {
+    word = word << 8 | static_cast<std::uint8_t>(byte);
+  }
+  return word;
+}
+
+}  // namespace
+
+tl::expected<FramePrefix, WireError> ParseFramePrefix(std::string_view bytes) {
+  const FramePrefix prefix{ReadWord(bytes), ReadWord(bytes.substr(4))};
+  if (prefix.m_head == 0 || prefix.m_head > kMostHeadBytes ||
+      prefix.m_body > kMostBodyBytes) {
+    return tl::unexpected(WireError{"frame length out of range"});
+  }
+  return prefix;
+}
+
+std::string EncodeFrameHead(const Frame& frame) {
+  capnp::MallocMessageBuilder message;
+  std::visit(FrameWriter{message.initRoot<schema::Frame>()}, frame);
+  const std::string head = impl::ToBytes(message);
+  std::string out;
+  out.reserve(kFramePrefixBytes + head.size());
+  AppendWord(out, static_cast<std::uint32_t>(head.size()));
+  AppendWord(out, static_cast<std::uint32_t>(BodyOf(frame).size()));
+  out += head;
+  return out;
+}
+
+std::string_view BodyOf(const Frame& frame) noexcept {
+  if (const auto* attempt = std::get_if<AttemptFrame>(&frame)) {
+    return attempt->m_request.m_body;
+  }
+  if (const auto* reply = std::get_if<ReplyFrame>(&frame)) {
+    return reply->m_response.m_body;
+  }
+  return {};
+}
+
+tl::expected<Frame, WireError> ParseFrame(std::string_view head,
+                                          std::string_view body) {
+  return impl::ReadMessage<schema::Frame>(
+      head, [&](schema::Frame::Reader in) -> Frame { return Read(in, body); });
+}
+
+std::string EncodeDatagram(const core::Datagram& datagram) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::Datagram>();
+  if (const auto* heartbeat = std::get_if<core::Heartbeat>(&datagram)) {
+    auto out = root.initHeartbeat();
+    out.setMember(Raw(heartbeat->m_member));
+    out.setGeneration(heartbeat->m_generation);
+    out.setProposed(heartbeat->m_proposed);
+    out.setSentAtUs(heartbeat->m_sent_at.time_since_epoch().count());
+    out.setNext(heartbeat->m_next);
+  } else {
+    const auto& ack = std::get<core::HeartbeatAck>(datagram);
+    auto out = root.initAck();
+    out.setWatcher(Raw(ack.m_watcher));
+    out.setMember(Raw(ack.m_member));
+    out.setGeneration(ack.m_generation);
+    out.setProposed(ack.m_proposed);
+    out.setSentAtUs(ack.m_sent_at.time_since_epoch().count());
+    out.setNext(ack.m_next);
+  }
+  return impl::ToBytes(message);
+}
+
+tl::expected<core::Datagram, WireError> ParseDatagram(std::string_view bytes) {
+  return impl::ReadMessage<schema::Datagram>(
+      bytes, [](schema::Datagram::Reader root) -> core::Datagram {
+        if (root.isHeartbeat()) {
+          const auto in = root.getHeartbeat();
+          return core::Heartbeat{
+              MemberId(in.getMember()), in.getGeneration(), in.getProposed(),
+              Time(Duration(in.getSentAtUs())), in.getNext()};
+        }
+        const auto in = root.getAck();
+        return core::HeartbeatAck{MemberId(in.getWatcher()),
+                                  MemberId(in.getMember()),
+                                  in.getGeneration(),
+                                  in.getProposed(),
+                                  Time(Duration(in.getSentAtUs())),
+                                  in.getNext()};
+      });
+}
+
+}  // namespace figlug::wire
--- /dev/null
+++ b/wire/src/log_codec.cc
@@ -0,0 +1,389 @@
+#include "figlug/wire/log_codec.h"
+
+#include <limits>
+
+#include "figlug/core/control_state.h"
+#include "figlug/wire/impl/message_bytes.h"
+#include "generated/log.capnp.h"
+
+namespace figlug::wire {
+namespace {
+
+using core::Duration;
+using core::MemberId;
+
+std::uint64_t Raw(MemberId id) {
+  return static_cast<std::uint64_t>(id);
+}
+
+std::string Text(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+template <class Builder>
+void WriteIds(Builder list, const std::vector<MemberId>& ids) {
+  unsigned i = 0;
+  for (MemberId id : ids) {
+    list.set(i++, Raw(id));
+  }
+}
+
+std::vector<MemberId> ReadIds(capnp::List<std::uint64_t>::Reader list) {
+  std::vector<MemberId> ids;
+  for (std::uint64_t id : list) {
+    ids.push_back(MemberId(id));
+  }
+  return ids;
+}
+
+unsigned Size(const auto& container) {
+  return static_cast<unsigned>(container.size());
+}
+
+void Write(schema::Endpoint::Builder out, const core::Endpoint& endpoint) {
+  out.setHost(endpoint.m_host);
+  out.setPort(endpoint.m_port);
+}
+
+core::Endpoint Read(schema::Endpoint::Reader in) {
+  return {Text(in.getHost()), in.getPort()};
+}
+
+void Write(schema::MemberInfo::Builder out, const core::MemberInfo& info) {
+  out.setId(Raw(info.m_id));
+  out.setService(info.m_service);
+  out.setProfile(info.m_profile);
+  out.setTarget(info.m_target);
+  out.setRegion(info.m_region);
+  out.setDomain(info.m_domain);
+  Write(out.initPeer(), info.m_peer);
+  Write(out.initHttp(), info.m_http);
+}
+
+core::MemberInfo Read(schema::MemberInfo::Reader in) {
+  return {MemberId(in.getId()), Text(in.getService()), Text(in.getProfile()),
+          Text(in.getTarget()), Text(in.getRegion()),  Text(in.getDomain()),
+          Read(in.getPeer()),   Read(in.getHttp())};
+}
+
+void Write(schema::Profile::Builder out, const core::Profile& profile) {
+  out.setName(profile.m_name);
+  auto regions = out.initHomeRegions(Size(profile.m_home_regions));
+  for (unsigned i = 0; i < regions.size(); ++i) {
+    regions.set(i, profile.m_home_regions[i]);
+  }
+  out.setKeyed(profile.m_keyed);
+  out.setRepeatable(profile.m_repeatable);
+  out.setMaxAttempts(profile.m_max_attempts);
+  out.setRetryPercent(profile.m_retry_percent);
+  out.setHedgePercent(profile.m_hedge_percent);
+  out.setDeadlineUs(profile.m_deadline.count());
+  out.setQueueWaitUs(profile.m_queue_wait.count());
+  out.setQueueLength(profile.m_queue_length);
+  out.setWarmUpUs(profile.m_warm_up.count());
+  out.setColdLimit(profile.m_cold_limit);
+  out.setMaxLimit(profile.m_max_limit);
+  out.setTakeoverWaitUs(profile.m_takeover_wait.count());
+}
+
+core::Profile Read(schema::Profile::Reader in) {
+  core::Profile profile;
+  profile.m_name = Text(in.getName());
+  for (auto region : in.getHomeRegions()) {
+    profile.m_home_regions.push_back(Text(region));
+  }
+  profile.m_keyed = in.getKeyed();
+  profile.m_repeatable = in.getRepeatable();
+  profile.m_max_attempts = in.getMaxAttempts();
+  profile.m_retry_percent = in.getRetryPercent();
+  profile.m_hedge_percent = in.getHedgePercent();
+  profile.m_deadline = Duration(in.getDeadlineUs());
+  profile.m_queue_wait = Duration(in.getQueueWaitUs());
+  profile.m_queue_length = in.getQueueLength();
+  profile.m_warm_up = Duration(in.getWarmUpUs());
+  profile.m_cold_limit = in.getColdLimit();
+  profile.m_max_limit = in.getMaxLimit();
+  profile.m_takeover_wait = Duration(in.getTakeoverWaitUs());
+  return profile;
+}
+
+void Write(schema::Member::Builder out, const core::Member& member) {
+  Write(out.initInfo(), member.m_info);
+  out.setGeneration(member.m_generation);
+  WriteIds(out.initWatchers(Size(member.m_watchers)), member.m_watchers);
+  WriteIds(out.initVotes(Size(member.m_votes)), member.m_votes);
+  out.setWeight(member.m_weight);
+  out.setDraining(member.m_draining);
+}
+
+core::Member Read(schema::Member::Reader in) {
+  return {.m_info = Read(in.getInfo()),
+          .m_generation = in.getGeneration(),
+          .m_watchers = ReadIds(in.getWatchers()),
+          .m_votes = ReadIds(in.getVotes()),
+          .m_weight = in.getWeight(),
+          .m_draining = in.getDraining()};
+}
+
+void Write(schema::Slice::Builder out, const core::Slice& slice) {
+  out.setOwner(Raw(slice.m_owner));
+  out.setEpoch(slice.m_epoch);
+  out.setLostAt(slice.m_lost_at);
+  if (slice.m_priors.empty()) {
+    return;
+  }
+  auto priors = out.initPriors(Size(slice.m_priors));
+  for (unsigned i = 0; i < priors.size(); ++i) {
+    priors[i].setMember(Raw(slice.m_priors[i].m_member));
+    priors[i].setTakenAt(slice.m_priors[i].m_taken_at);
+  }
+}
+
+core::Slice Read(schema::Slice::Reader in) {
+  core::Slice slice{.m_owner = MemberId(in.getOwner()),
+                    .m_epoch = in.getEpoch(),
+                    .m_lost_at = in.getLostAt(),
+                    .m_priors = {}};
+  for (auto prior : in.getPriors()) {
+    slice.m_priors.push_back({MemberId(prior.getMember()), prior.getTakenAt()});
+  }
+  return slice;
+}
+
+void Write(schema::ControlState::Builder out, const core::ControlState& state) {
+  out.setNext(state.next());
+  auto members = out.initMembers(Size(state.members()));
+  unsigned i = 0;
+  for (const auto& [id, member] : state.members()) {
+    Write(members[i++], member);
+  }
+  auto services = out.initServices(Size(state.services()));
+  i = 0;
+  for (const auto& [name, service] : state.services()) {
+    auto entry = services[i++];
+    entry.setName(name);
+    entry.setProfile(service.m_profile);
+    auto slices = entry.initSlices(Size(service.m_slices));
+    for (unsigned j = 0; j < slices.size(); ++j) {
+      Write(slices[j], service.m_slices[j]);
+    }
+  }
+  auto profiles = out.initProfiles(Size(state.profiles()));
+  i = 0;
+  for (const auto& [name, versioned] : state.profiles()) {
+    auto entry = profiles[i++];
+    Write(entry.initProfile(), versioned.m_profile);
+    entry.setVersion(versioned.m_version);
+  }
+  auto exclusions = out.initExclusions(Size(state.exclusions()));
+  i = 0;
+  for (const auto& [kind, name] : state.exclusions()) {
+    exclusions[i].setKind(static_cast<std::uint8_t>(kind));
+    exclusions[i++].setName(name);
+  }
+  out.setExclusionsVersion(state.exclusions_version());
+  auto appends = out.initRecentAppends(Size(state.recent_appends()));
+  i = 0;
+  for (core::AppendId id : state.recent_appends()) {
+    appends.set(i++, static_cast<std::uint64_t>(id));
+  }
+}
+
+core::ExclusionKind ReadKind(std::uint8_t kind) {
+  return kind == 0 ? core::ExclusionKind::kDomain
+                   : core::ExclusionKind::kTarget;
+}
+
+core::ControlState Read(schema::ControlState::Reader in) {
+  core::ControlState::Parts parts;
+  parts.m_next = in.getNext();
+  for (auto member : in.getMembers()) {
+    parts.m_members[MemberId(member.getInfo().getId())] = Read(member);
+  }
+  for (auto service : in.getServices()) {
+    core::Service& entry = parts.m_services[Text(service.getName())];
+    entry.m_profile = Text(service.getProfile());
+    for (auto slice : service.getSlices()) {
+      entry.m_slices.push_back(Read(slice));
+    }
+    entry.m_slices.resize(core::kSlicesPerService);
+  }
+  for (auto profile : in.getProfiles()) {
+    parts.m_profiles[Text(profile.getProfile().getName())] = {
+        Read(profile.getProfile()), profile.getVersion()};
+  }
+  for (auto exclusion : in.getExclusions()) {
+    parts.m_exclusions.insert(
+        {ReadKind(exclusion.getKind()), Text(exclusion.getName())});
+  }
+  parts.m_exclusions_version = in.getExclusionsVersion();
+  for (std::uint64_t id : in.getRecentAppends()) {
+    parts.m_recent_appends.push_back(core::AppendId(id));
+  }
+  return core::ControlState::FromParts(std::move(parts));
+}
+
+// One overload for each kind of record.
+struct RecordWriter {
+  schema::Record::Builder m_out;
+
+  void operator()(const core::UnreadableRecord&) {}
+  void operator()(const core::JoinRecord& record) {
+    auto join = m_out.initJoin();
+    Write(join.initInfo(), record.m_info);
+    WriteIds(join.initWatchers(Size(record.m_watchers)), record.m_watchers);
+  }
+  void operator()(const core::WatchersRecord& record) {
+    auto watchers = m_out.initWatchers();
+    watchers.setMember(Raw(record.m_member));
+    watchers.setGeneration(record.m_generation);
+    WriteIds(watchers.initWatchers(Size(record.m_watchers)), record.m_watchers);
+  }
+  void operator()(const core::VoteRecord& record) {
+    auto vote = m_out.initVote();
+    vote.setVoter(Raw(record.m_voter));
+    vote.setSubject(Raw(record.m_subject));
+    vote.setGeneration(record.m_generation);
+  }
+  void operator()(const core::WeightRecord& record) {
+    auto weight = m_out.initWeight();
+    weight.setMember(Raw(record.m_member));
+    weight.setWeight(record.m_weight);
+  }
+  void operator()(const core::DrainRecord& record) {
+    m_out.setDrain(Raw(record.m_member));
+  }
+  void operator()(const core::LeaveRecord& record) {
+    m_out.setLeave(Raw(record.m_member));
+  }
+  void operator()(const core::ReleaseRecord& record) {
+    auto release = m_out.initRelease();
+    release.setMember(Raw(record.m_member));
+    release.setFolded(record.m_folded);
+    auto slices = release.initSlices(Size(record.m_slices));
+    for (unsigned i = 0; i < slices.size(); ++i) {
+      slices.set(i, record.m_slices[i]);
+    }
+  }
+  void operator()(const core::ProfileRecord& record) {
+    auto profile = m_out.initProfile();
+    Write(profile.initProfile(), record.m_profile);
+    profile.setExpectedVersion(record.m_expected_version);
+  }
+  void operator()(const core::ExclusionRecord& record) {
+    auto exclusion = m_out.initExclusion();
+    exclusion.setKind(static_cast<std::uint8_t>(record.m_kind));
+    exclusion.setName(record.m_name);
+    exclusion.setOut(record.m_out);
+    exclusion.setExpectedVersion(record.m_expected_version);
+  }
+  void operator()(const core::ForceDownRecord& record) {
+    m_out.setForceDown(Raw(record.m_member));
+  }
+  void operator()(const core::CheckpointRecord& record) {
+    auto checkpoint = m_out.initCheckpoint();
+    checkpoint.setNext(record.m_next);
+    Write(checkpoint.initState(), *record.m_state);
+  }
+};
+
+core::Record ReadRelease(schema::Record::Release::Reader in) {
+  core::ReleaseRecord record{MemberId(in.getMember()), in.getFolded(), {}};
+  for (std::uint32_t slice : in.getSlices()) {
+    record.m_slices.push_back(slice);
+  }
+  return record;
+}
+
+core::Record ReadRecord(schema::Record::Reader in) {
+  switch (in.which()) {
+    case schema::Record::JOIN:
+      return core::JoinRecord{Read(in.getJoin().getInfo()),
+                              ReadIds(in.getJoin().getWatchers())};
+    case schema::Record::WATCHERS:
+      return core::WatchersRecord{MemberId(in.getWatchers().getMember()),
+                                  in.getWatchers().getGeneration(),
+                                  ReadIds(in.getWatchers().getWatchers())};
+    case schema::Record::VOTE:
+      return core::VoteRecord{MemberId(in.getVote().getVoter()),
+                              MemberId(in.getVote().getSubject()),
+                              in.getVote().getGeneration()};
+    case schema::Record::WEIGHT:
+      return core::WeightRecord{MemberId(in.getWeight().getMember()),
+                                in.getWeight().getWeight()};
+    case schema::Record::DRAIN:
+      return core::DrainRecord{MemberId(in.getDrain())};
+    case schema::Record::LEAVE:
+      return core::LeaveRecord{MemberId(in.getLeave())};
+    case schema::Record::RELEASE:
+      return ReadRelease(in.getRelease());
+    case schema::Record::PROFILE:
+      return core::ProfileRecord{Read(in.getProfile().getProfile()),
+                                 in.getProfile().getExpectedVersion()};
+    case schema::Record::EXCLUSION:
+      return core::ExclusionRecord{ReadKind(in.getExclusion().getKind()),
+                                   Text(in.getExclusion().getName()),
+                                   in.getExclusion().getOut(),
+                                   in.getExclusion().getExpectedVersion()};
+    case schema::Record::FORCE_DOWN:
+      return core::ForceDownRecord{MemberId(in.getForceDown())};
+    case schema::Record::CHECKPOINT:
+      return core::CheckpointRecord{in.getCheckpoint().getNext(),
+                                    std::make_shared<const core::ControlState>(
+                                        Read(in.getCheckpoint().getState()))};
+  }
+  return core::UnreadableRecord{};
+}
+
+}  // namespace
+
+std::string EncodeRecord(core::AppendId id, const core::Record& record) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::Record>();
+  root.setAppendId(static_cast<std::uint64_t>(id));
+  std::visit(RecordWriter{root}, record);
+  return impl::ToBytes(message);
+}
+
+// Foreign bytes keep their offset: every reader must pass over the same ones.
+core::LogEntry ParseRecord(core::Offset offset, std::string_view bytes) {
+  auto entry =
+      impl::ReadMessage<schema::Record>(bytes, [&](schema::Record::Reader in) {
+        return core::LogEntry{offset, core::AppendId(in.getAppendId()),
+                              ReadRecord(in)};
+      });
+  return entry ? std::move(*entry)
+               : core::LogEntry{offset, core::AppendId{offset},
+                                core::UnreadableRecord{}};
+}
+
+std::string EncodeLogPage(const LogPage& page) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::ReadReply>();
+  root.setFirstOffset(page.m_first);
+  root.setNextOffset(page.m_next);
+  auto entries = root.initEntries(Size(page.m_entries));
+  for (unsigned i = 0; i < entries.size(); ++i) {
+    const std::string& data = page.m_entries[i].m_data;
+    entries[i].setOffset(page.m_entries[i].m_offset);
+    entries[i].setData(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(data.data()), data.size()));
+  }
+  return impl::ToBytes(message);
+}
+
+tl::expected<LogPage, WireError> ParseLogPage(std::string_view bytes) {
+  return impl::ReadMessage<schema::ReadReply>(
+      bytes, [](schema::ReadReply::Reader in) {
+        LogPage page{in.getFirstOffset(), in.getNextOffset(), {}};
+        for (auto entry : in.getEntries()) {
+          const auto data = entry.getData();
+          page.m_entries.push_back(
+              {entry.getOffset(),
+               {reinterpret_cast<const char*>(data.begin()), data.size()}});
+        }
+        return page;
+      });
+}
+
+}  // namespace figlug::wire
