--- /dev/null
+++ b/figlugctl/main.cc
@@ -0,0 +1,54 @@
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "commands.h"
+#include "figlug/settings/address.h"
+
+namespace {
+
+constexpr const char* kHelp =
+    "Operates figlug through the platform's log. Commands: "
+    "publish FILE (a profile); domain out|in NAME; target out|in NAME; "
+    "status; explain SERVICE [KEY]; force-down MEMBER. "
+    "Exit codes: 0 done, 1 refused, 2 bad input, 3 log unreachable or outcome "
+    "unknown.";
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command(kHelp, ' ', "0.1");
+  TCLAP::ValueArg<std::string> log("l", "log", "Address of the log service",
+                                   true, "", "IP:PORT", command);
+  TCLAP::ValueArg<std::uint64_t> expect(
+      "e", "expect", "Version that the change replaces; the newest if absent",
+      false, 0, "VERSION", command);
+  TCLAP::ValueArg<std::string> region(
+      "r", "region", "Region that explain asks from", false, "", "NAME",
+      command);
+  TCLAP::SwitchArg is_json("j", "json", "Print JSON", command);
+  TCLAP::SwitchArg force("f", "force", "Act in spite of a warning", command);
+  TCLAP::UnlabeledMultiArg<std::string> words("command", "What to do", true,
+                                              "COMMAND", command);
+  command.parse(argc, argv);
+
+  const auto endpoint = figlug::settings::ParseAddress(log.getValue());
+  if (!endpoint) {
+    std::cerr << "figlugctl: '" << log.getValue()
+              << "' is no address; an IPv4 number and a port are, as in "
+                 "127.0.0.1:7000\n";
+    return figlug::ctl::kExitBadInput;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  figlug::ctl::Request request;
+  request.m_log = *endpoint;
+  request.m_words = words.getValue();
+  request.m_region = region.getValue();
+  request.m_is_json = is_json.getValue();
+  request.m_is_forced = force.getValue();
+  if (expect.isSet()) {
+    request.m_expected_version = expect.getValue();
+  }
+  return figlug::ctl::RunCommand(request);
+}
--- /dev/null
+++ b/runtime/include/figlug/runtime/operator_session.h
@@ -0,0 +1,67 @@
+#ifndef FIGLUG_RUNTIME_OPERATOR_SESSION_H_
+#define FIGLUG_RUNTIME_OPERATOR_SESSION_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include "figlug/core/control_state.h"
+#include "figlug/runtime/event_loop.h"
+#include "figlug/runtime/http_log_client.h"
+#include "figlug/runtime/log_follower.h"
+
+namespace figlug::runtime {
+
+/// \brief Why an operator's record is not in force.
+enum class OperatorError : std::uint8_t {
+  /// The log did not answer in time: nothing was appended.
+  kLogUnreachable,
+  /// The record was not read back in time: it may take effect later.
+  kUnknown,
+  /// The record is in the log but another came first.
+  kConflict,
+  /// The record is in the log but says something that is not accepted.
+  kRejected,
+};
+
+/// \brief An operator's view of the log, and appends that are read back.
+///
+/// \code
+/// OperatorSession session(loop, log_address);
+/// if (session.Load()) session.Commit(record);
+/// \endcode
+class OperatorSession {
+ public:
+  OperatorSession(EventLoop& loop, const core::Endpoint& log);
+
+  /// \brief Folds all that the log holds now.
+  [[nodiscard]] tl::expected<void, OperatorError> Load();
+  /// \brief Appends a record and waits until it has been read back.
+  [[nodiscard]] tl::expected<void, OperatorError> Commit(core::Record record);
+  [[nodiscard]] const core::ControlState& state() const noexcept {
+    return m_state;
+  }
+
+ private:
+  void Fold(const std::vector<core::LogEntry>& entries);
+  void Send();
+
+  EventLoop& m_loop;
+  HttpLogClient m_log;
+  core::ControlState m_state;
+  bool m_is_loaded = false;
+  core::AppendId m_append{0};
+  core::Record m_record;
+  std::optional<core::ApplyResult> m_result;
+  Timer m_deadline;
+  Timer m_repeat;
+  LogFollower<HttpLogClient> m_follower;
+};
+
+}  // namespace figlug::runtime
+
+#endif  // FIGLUG_RUNTIME_OPERATOR_SESSION_H_
--- /dev/null
+++ b/runtime/src/operator_session.cc
@@ -0,0 +1,93 @@
+#include "figlug/runtime/operator_session.h"
+
+#include <random>
+#include <utility>
+
+namespace figlug::runtime {
+namespace {
+
+constexpr core::Duration kPatience = std::chrono::seconds(10);
+constexpr core::Duration kRepeat = std::chrono::seconds(1);
+
+core::AppendId NewAppendId() {
+  std::random_device device;
+  return core::AppendId(std::uint64_t{device()} << 32 | device());
+}
+
+}  // namespace
+
+OperatorSession::OperatorSession(EventLoop& loop, const core::Endpoint& log)
+    : m_loop(loop),
+      m_log(loop, log),
+      m_deadline(loop, [this] { m_loop.Stop(); }),
+      m_repeat(loop, [this] { Send(); }),
+      m_follower(
+          loop,
+          m_log,
+          {.m_on_start =
+               [this](core::ControlState&& state) {
+                 m_state = std::move(state);
+               },
+           .m_on_records = [this](const auto& entries) { Fold(entries); },
+           .m_on_caught_up =
+               [this] {
+                 if (!m_is_loaded) {
+                   m_is_loaded = true;
+                   m_loop.Stop();
+                 }
+               },
+           .m_on_gap = [] {},
+           .m_on_health = [](bool) {},
+           .m_next = [this] { return m_state.next(); }}) {}
+
+void OperatorSession::Fold(const std::vector<core::LogEntry>& entries) {
+  for (const core::LogEntry& entry : entries) {
+    if (entry.m_offset != m_state.next()) {
+      continue;
+    }
+    const core::ApplyResult result = m_state.Apply(entry);
+    if (entry.m_append_id == m_append && !m_result) {
+      m_result = result;
+      m_loop.Stop();
+    }
+  }
+}
+
+tl::expected<void, OperatorError> OperatorSession::Load() {
+  m_deadline.Set(kPatience);
+  m_follower.Start();
+  m_loop.Run();
+  if (!m_is_loaded) {
+    return tl::unexpected(OperatorError::kLogUnreachable);
+  }
+  return {};
+}
+
+tl::expected<void, OperatorError> OperatorSession::Commit(
+    core::Record record) {
+  m_append = NewAppendId();
+  m_record = std::move(record);
+  m_result.reset();
+  m_deadline.Set(kPatience);
+  Send();
+  m_loop.Run();
+  m_repeat.Cancel();
+  if (!m_result) {
+    return tl::unexpected(OperatorError::kUnknown);
+  }
+  if (m_result->m_applied) {
+    return {};
+  }
+  return tl::unexpected(m_result->m_reason == core::VoidReason::kStale
+                            ? OperatorError::kConflict
+                            : OperatorError::kRejected);
+}
+
+// The reply may be lost, so the record is sent again under the same id until
+// it has been read back.
+void OperatorSession::Send() {
+  m_log.Append(m_append, m_record);
+  m_repeat.Set(kRepeat);
+}
+
+}  // namespace figlug::runtime
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -52,6 +52,7 @@
   }
 
   tl::expected<void, RuntimeError> Listen(const core::Endpoint& endpoint) {
+    m_host = endpoint.m_host;
     const sockaddr_in address = impl::ToSocketAddress(endpoint);
     m_listener = evconnlistener_new_bind(
         m_loop.base(), &OnAccept, this,
@@ -115,7 +116,7 @@
     slot = std::make_unique<Connection>();
     slot->m_impl = this;
     slot->m_to = to;
-    Attach(*slot, -1);
+    Attach(*slot, OpenSocket());
     bufferevent_set_timeouts(slot->m_stream, nullptr, &kConnectTimeout);
     const sockaddr_in address = impl::ToSocketAddress(to);
     bufferevent_socket_connect(slot->m_stream,
@@ -124,6 +125,17 @@
     return *slot;
   }
 
+  // Peers are called from the address that this process listens on.
+  [[nodiscard]] evutil_socket_t OpenSocket() const {
+    const evutil_socket_t opened =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(opened, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+    const sockaddr_in local = impl::ToSocketAddress({m_host, 0});
+    bind(opened, reinterpret_cast<const sockaddr*>(&local), sizeof(local));
+    return opened;
+  }
+
   void Attach(Connection& connection, evutil_socket_t socket) {
     connection.m_stream = bufferevent_socket_new(
         m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -233,6 +245,7 @@
 
   EventLoop& m_loop;
   PeerHandlers m_handlers;
+  std::string m_host;
   evconnlistener* m_listener = nullptr;
   std::uint64_t m_last_id = 0;
   std::uint64_t m_bytes_sent = 0;
--- /dev/null
+++ b/testing/src/cluster.cc
@@ -0,0 +1,330 @@
+#include "figlug/testing/cluster.h"
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include "figlug/runtime/headers.h"
+
+namespace figlug::testing {
+namespace {
+
+constexpr std::uint16_t kHttpPort = 7100;
+constexpr std::uint16_t kPeerPort = 7200;
+constexpr std::uint16_t kTargetPort = 7300;
+constexpr std::uint16_t kPeerLinkPort = 7400;
+constexpr std::uint16_t kLogLinkPort = 7500;
+constexpr std::uint16_t kLogPort = 7000;
+constexpr std::uint16_t kControlPort = 7600;
+constexpr std::size_t kMostBodyBytes = 64U << 20;
+constexpr core::Duration kPoll = std::chrono::milliseconds(10);
+constexpr core::Duration kAskTimeout = std::chrono::seconds(2);
+
+std::string ToText(const core::Endpoint& endpoint) {
+  return endpoint.m_host + ":" + std::to_string(endpoint.m_port);
+}
+
+// Each cluster of each test process has loopback addresses of its own.
+std::string NewNetwork() {
+  static int count = 0;
+  const int network = getpid() * 8 + count++ % 8;
+  return "127." + std::to_string(16 + network / 250 % 200) + "." +
+         std::to_string(1 + network % 250) + ".";
+}
+
+}  // namespace
+
+Cluster::Cluster(Programs programs, std::vector<NodeOptions> nodes)
+    : m_programs(std::move(programs)), m_network(NewNetwork()) {
+  std::string folder =
+      (std::filesystem::temp_directory_path() / "figlug-XXXXXX").string();
+  m_folder = mkdtemp(folder.data());
+  for (NodeOptions& options : nodes) {
+    m_nodes.push_back({std::move(options), nullptr, nullptr});
+  }
+}
+
+Cluster::~Cluster() {
+  m_nodes.clear();
+  m_proxy.reset();
+  m_log.reset();
+  if (std::getenv("FIGLUG_KEEP") != nullptr) {
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string Cluster::HostOf(std::size_t node) const {
+  return m_network + std::to_string(node + 2);
+}
+
+core::Endpoint Cluster::At(std::size_t node, std::uint16_t port) const {
+  return {HostOf(node), port};
+}
+
+core::Endpoint Cluster::HttpOf(std::size_t node) const {
+  return At(node, kHttpPort);
+}
+
+core::Endpoint Cluster::log_endpoint() const {
+  return {m_network + "1", kLogPort};
+}
+
+std::string Cluster::OutputOf(const std::string& name) const {
+  return m_folder + "/" + name + ".out";
+}
+
+void Cluster::StartAll() {
+  m_log = std::make_unique<Process>(
+      std::vector<std::string>{m_programs.m_log_stand_in, "--listen",
+                               ToText(log_endpoint())},
+      OutputOf("log"));
+  std::vector<std::string> arguments = {
+      m_programs.m_fault_proxy, "--control",
+      ToText({m_network + "1", kControlPort})};
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    const std::string number = std::to_string(i);
+    arguments.push_back("--link");
+    arguments.push_back("node-" + number + "," + ToText(At(i, kPeerLinkPort)) +
+                        "," + ToText(At(i, kPeerPort)));
+    arguments.push_back("--link");
+    arguments.push_back("log-" + number + "," + ToText(At(i, kLogLinkPort)) +
+                        "," + ToText(log_endpoint()));
+  }
+  m_proxy = std::make_unique<Process>(arguments, OutputOf("proxy"));
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    StartTarget(i);
+    StartNode(i);
+  }
+}
+
+void Cluster::StartTarget(std::size_t node) {
+  const NodeOptions& options = m_nodes[node].m_options;
+  const std::string name = "t" + std::to_string(node);
+  std::vector<std::string> arguments = {
+      m_programs.m_target_stand_in, "--listen",  ToText(At(node, kTargetPort)),
+      "--name",                     name,        "--region",
+      options.m_region,             "--records", m_folder + "/" + name +
+                                                     ".jsonl"};
+  arguments.insert(arguments.end(), options.m_target_arguments.begin(),
+                   options.m_target_arguments.end());
+  m_nodes[node].m_target.reset();
+  m_nodes[node].m_target =
+      std::make_unique<Process>(arguments, OutputOf(name));
+}
+
+void Cluster::WriteSettings(std::size_t node) const {
+  const NodeOptions& options = m_nodes[node].m_options;
+  std::ofstream out(m_folder + "/n" + std::to_string(node) + ".ini");
+  out << "[node]\nregion = " << options.m_region
+      << "\ndomain = " << options.m_domain
+      << "\nhttp = " << ToText(At(node, kHttpPort))
+      << "\npeer = " << ToText(At(node, kPeerPort))
+      << "\nannounce_peer = " << ToText(At(node, kPeerLinkPort))
+      << "\n[target]\nname = t" << node << "\nservice = " << options.m_service
+      << "\nprofile = " << options.m_profile
+      << "\naddress = " << ToText(At(node, kTargetPort))
+      << "\n[log]\naddress = " << ToText(At(node, kLogLinkPort))
+      << "\n[output]\ntrace_file = " << m_folder << "/spans" << node
+      << ".jsonl\n"
+      << options.m_settings;
+}
+
+void Cluster::StartNode(std::size_t node) {
+  WriteSettings(node);
+  const std::string name = "n" + std::to_string(node);
+  m_nodes[node].m_daemon.reset();
+  m_nodes[node].m_daemon = std::make_unique<Process>(
+      std::vector<std::string>{m_programs.m_figlugd, "--settings",
+                               m_folder + "/" + name + ".ini"},
+      OutputOf(name));
+}
+
+void Cluster::KillNode(std::size_t node) {
+  m_nodes[node].m_daemon->Kill();
+}
+
+void Cluster::KillTarget(std::size_t node) {
+  m_nodes[node].m_target->Kill();
+}
+
+Process& Cluster::NodeProcess(std::size_t node) {
+  return *m_nodes[node].m_daemon;
+}
+
+std::optional<wire::HttpResponse> Cluster::Ask(
+    const core::Endpoint& endpoint,
+    const wire::HttpRequest& request,
+    core::Duration timeout) {
+  runtime::HttpClient client(m_loop, endpoint, 1, kMostBodyBytes);
+  std::optional<wire::HttpResponse> response;
+  client.Send(request, timeout, [&](runtime::HttpClient::Result&& result) {
+    if (result) {
+      response = std::move(*result);
+    }
+    m_loop.Stop();
+  });
+  m_loop.Run();
+  return response;
+}
+
+std::optional<wire::HttpResponse> Cluster::Fetch(
+    std::size_t node,
+    const wire::HttpRequest& request,
+    core::Duration timeout) {
+  return Ask(HttpOf(node), request, timeout);
+}
+
+std::optional<wire::HttpResponse> Cluster::Get(std::size_t node,
+                                               const std::string& key,
+                                               const std::string& service) {
+  return Fetch(node, {"GET",
+                      "/item",
+                      {{std::string(runtime::kServiceHeader), service},
+                       {std::string(runtime::kKeyHeader), key}},
+                      ""});
+}
+
+nlohmann::json Cluster::Status(std::size_t node) {
+  const auto answer =
+      Ask(HttpOf(node), {"GET", "/figlug/status", {}, ""}, kAskTimeout);
+  return answer ? nlohmann::json::parse(answer->m_body, nullptr, false)
+                : nlohmann::json();
+}
+
+void Cluster::Post(const core::Endpoint& endpoint, const std::string& path) {
+  const bool is_done = WaitUntil([&] {
+    return Ask(endpoint, {"POST", path, {}, ""}, kAskTimeout).has_value();
+  });
+  if (!is_done) {
+    throw std::runtime_error("no answer to " + path);
+  }
+}
+
+void Cluster::SetRule(const std::string& from,
+                      const std::string& link,
+                      const std::string& faults) {
+  Post({m_network + "1", kControlPort},
+       "/rule?from=" + from + "&to=" + link + "&" + faults);
+}
+
+void Cluster::SetCut(std::size_t a, std::size_t b, bool is_cut) {
+  const std::string faults = is_cut ? "cut=1" : "cut=0";
+  SetRule(HostOf(a), "node-" + std::to_string(b), faults);
+  SetRule(HostOf(b), "node-" + std::to_string(a), faults);
+}
+
+void Cluster::SetLog(const std::string& faults) {
+  Post(log_endpoint(), "/control?" + faults);
+}
+
+void Cluster::SetTarget(std::size_t node, const std::string& faults) {
+  Post(At(node, kTargetPort), "/control?" + faults);
+}
+
+nlohmann::json Cluster::ProxyBytes() {
+  const auto answer = Ask({m_network + "1", kControlPort},
+                          {"GET", "/bytes", {}, ""}, kAskTimeout);
+  return answer ? nlohmann::json::parse(answer->m_body) : nlohmann::json();
+}
+
+int Cluster::Operate(const std::vector<std::string>& arguments) {
+  std::vector<std::string> words = {m_programs.m_figlugctl, "--log",
+                                    ToText(log_endpoint())};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  Process process(words, OutputOf("ctl"));
+  std::optional<int> code;
+  while (!(code = process.Poll())) {
+    RunFor(kPoll);
+  }
+  return *code;
+}
+
+int Cluster::Publish(const std::string& profile) {
+  const std::string file = m_folder + "/profile.ini";
+  std::ofstream(file) << "[profile]\n" << profile;
+  return Operate({"publish", file});
+}
+
+bool Cluster::WaitUntil(const std::function<bool()>& condition,
+                        core::Duration limit) {
+  const core::Time end = runtime::ReadClocks().m_time + limit;
+  while (!condition()) {
+    if (runtime::ReadClocks().m_time > end) {
+      return false;
+    }
+    RunFor(kPoll);
+  }
+  return true;
+}
+
+void Cluster::RunFor(core::Duration span) {
+  runtime::Timer timer(m_loop, [this] { m_loop.Stop(); });
+  timer.Set(span);
+  m_loop.Run();
+}
+
+bool Cluster::WaitReady(core::Duration limit) {
+  return WaitUntil(
+      [&] {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+          const auto status = Status(i);
+          if (!status.is_object() || !status["serving"].get<bool>() ||
+              status["members"].size() != m_nodes.size() ||
+              status["owned_slices"] == 0) {
+            return false;
+          }
+        }
+        return true;
+      },
+      limit);
+}
+
+std::optional<std::size_t> Cluster::OwnerOf(const std::string& key,
+                                            std::size_t asked,
+                                            const std::string& service) {
+  const auto answer =
+      Fetch(asked, {"GET",
+                    "/figlug/explain",
+                    {{std::string(runtime::kServiceHeader), service},
+                     {std::string(runtime::kKeyHeader), key}},
+                    ""});
+  if (!answer) {
+    return std::nullopt;
+  }
+  const auto report = nlohmann::json::parse(answer->m_body);
+  if (report["targets"].empty()) {
+    return std::nullopt;
+  }
+  const auto name = report["targets"][0]["target"].get<std::string>();
+  return std::stoul(name.substr(1));
+}
+
+std::string Cluster::MemberOf(std::size_t node) {
+  const auto status = Status(node);
+  return status.is_object() ? status["self"].get<std::string>() : "";
+}
+
+std::vector<RunEvent> Cluster::Runs() const {
+  std::vector<RunEvent> runs;
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    std::ifstream in(m_folder + "/t" + std::to_string(i) + ".jsonl");
+    std::string line;
+    while (std::getline(in, line)) {
+      const auto json = nlohmann::json::parse(line, nullptr, false);
+      if (json.is_object()) {
+        runs.push_back({json["event"], json["target"], json["region"],
+                        json["id"], json["fence"], json["tag"], json["at_us"],
+                        json["running"], json["slots"]});
+      }
+    }
+  }
+  return runs;
+}
+
+}  // namespace figlug::testing
--- /dev/null
+++ b/testing/src/fault_proxy_main.cc
@@ -0,0 +1,50 @@
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+#include <sstream>
+
+#include "figlug/settings/address.h"
+#include "figlug/testing/fault_proxy.h"
+
+int main(int argc, char** argv) {
+  using figlug::settings::ParseAddress;
+  TCLAP::CmdLine command("Forwards TCP and UDP with faults, for tests", ' ',
+                         "0.1");
+  TCLAP::ValueArg<std::string> control("c", "control", "Address for control",
+                                       true, "", "IP:PORT", command);
+  TCLAP::MultiArg<std::string> links("k", "link", "A link to forward", true,
+                                     "NAME,IP:PORT,IP:PORT", command);
+  command.parse(argc, argv);
+
+  figlug::runtime::EventLoop loop;
+  figlug::testing::FaultProxy proxy(loop);
+  for (const std::string& link : links.getValue()) {
+    std::istringstream in(link);
+    std::string name;
+    std::string listen;
+    std::string forward;
+    std::getline(in, name, ',');
+    std::getline(in, listen, ',');
+    std::getline(in, forward);
+    const auto from = ParseAddress(listen);
+    const auto to = ParseAddress(forward);
+    if (!from || !to) {
+      std::cerr << "fault_proxy: bad link " << link << '\n';
+      return 2;
+    }
+    if (const auto added = proxy.AddLink(name, *from, *to); !added) {
+      std::cerr << "fault_proxy: " << ToString(added.error()) << '\n';
+      return 1;
+    }
+  }
+  const auto endpoint = ParseAddress(control.getValue());
+  if (!endpoint || !proxy.ListenControl(*endpoint)) {
+    std::cerr << "fault_proxy: cannot listen on " << control.getValue()
+              << '\n';
+    return 1;
+  }
+  figlug::runtime::SignalHandler on_term(loop, SIGTERM, [&] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
--- /dev/null
+++ b/tests/ownership_test.cc
@@ -0,0 +1,1 @@
+#include <CppUTest/TestHarness.h>
