--- a/testing/include/figlug/testing/cluster.h
+++ b/testing/include/figlug/testing/cluster.h
@@ -48,7 +48,9 @@
   std::string m_fence;
   std::string m_tag;
   std::int64_t m_at_us = 0;
-  std::int64_t m_running = 0;
+  /// Requests at the target, running or waiting.
+  std::int64_t m_held = 0;
+  /// Requests it could run at once.
   std::int64_t m_slots = 0;
 };
 
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <stdexcept>
 
 #include "figlug/runtime/headers.h"
@@ -270,7 +271,7 @@
 }
 
 bool Cluster::WaitReady(core::Duration limit) {
-  return WaitUntil(
+  const bool is_ready = WaitUntil(
       [&] {
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
           const auto status = Status(i);
@@ -283,6 +284,10 @@
         return true;
       },
       limit);
+  for (std::size_t i = 0; !is_ready && i < m_nodes.size(); ++i) {
+    std::cerr << "node " << i << ": " << Status(i).dump() << '\n';
+  }
+  return is_ready;
 }
 
 std::optional<std::size_t> Cluster::OwnerOf(const std::string& key,
@@ -320,7 +325,7 @@
       if (json.is_object()) {
         runs.push_back({json["event"], json["target"], json["region"],
                         json["id"], json["fence"], json["tag"], json["at_us"],
-                        json["running"], json["slots"]});
+                        json["held"], json["slots"]});
       }
     }
   }
--- a/testing/src/target_stand_in.cc
+++ b/testing/src/target_stand_in.cc
@@ -210,8 +210,9 @@
     } else if (path == "/status") {
       status = static_cast<int>(QueryNumber(request, "code").value_or(kOk));
     } else {
-      evbuffer_add_printf(reply, "%s %s\n", m_options.m_name.c_str(),
-                          HeaderOf(request, "Figlug-Request-Id").c_str());
+      evbuffer_add_printf(reply, "%s %s %s\n", m_options.m_name.c_str(),
+                          HeaderOf(request, "Figlug-Request-Id").c_str(),
+                          HeaderOf(request, "X-Tag").c_str());
     }
     evhttp_add_header(evhttp_request_get_output_headers(request), "X-Target",
                       m_options.m_name.c_str());
@@ -237,7 +238,7 @@
         {"fence", HeaderOf(request, "Figlug-Fence")},
         {"tag", HeaderOf(request, "X-Tag")},
         {"at_us", runtime::ReadClocks().m_time.time_since_epoch().count()},
-        {"running", m_running.size()},
+        {"held", m_running.size() + m_waiting.size()},
         {"slots", Slots()},
     };
     m_records << line.dump() << '\n' << std::flush;
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -1,1 +1,238 @@
+#include <csignal>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
+
+#include "checkers.h"
+#include "figlug/testing/cluster.h"
+#include "figlug/testing/load.h"
+#include "programs.h"
+
+namespace figlug::testing {
+namespace {
+
+constexpr std::size_t kNodes = 6;
+constexpr std::uint32_t kKeys = 60;
+
+}  // namespace
+
+// The targets check no fence: only figlug keeps a key with one owner.
+TEST_GROUP(Ownership) {
+  Cluster cluster{BuiltPrograms(),
+                  SpreadNodes(kNodes, "orders", {"--no-fence"})};
+  std::unique_ptr<Load> load;
+
+  void setup() override {
+    cluster.StartAll();
+    CHECK(cluster.WaitReady());
+  }
+
+  void StartLoad(const std::vector<std::size_t>& ingresses) {
+    LoadOptions options{.m_service = "orders",
+                        .m_ingresses = {},
+                        .m_rate = 200,
+                        .m_keys = kKeys,
+                        .m_timeout = std::chrono::seconds(3)};
+    for (std::size_t node : ingresses) {
+      options.m_ingresses.push_back(cluster.HttpOf(node));
+    }
+    load = std::make_unique<Load>(cluster.loop(), options);
+    load->Start();
+    cluster.RunFor(std::chrono::milliseconds(300));
+  }
+
+  void EndLoad() {
+    load->Stop();
+    CHECK(cluster.WaitUntil([&] { return load->open() == 0; }));
+    STRCMP_EQUAL("", FindTwoOwners(cluster.Runs()).c_str());
+    STRCMP_EQUAL("", FindUntruth(cluster.Runs(), load->results()).c_str());
+  }
+
+  /// Waits until every key is answered at a node.
+  bool AllKeysServed(std::size_t ingress) {
+    return cluster.WaitUntil([&] {
+      for (std::uint32_t key = 0; key < kKeys; ++key) {
+        const auto answer =
+            cluster.Get(ingress, "key" + std::to_string(key));
+        if (!answer || answer->m_status != 200) {
+          return false;
+        }
+      }
+      return true;
+    });
+  }
+
+  std::size_t Members(std::size_t asked) {
+    const auto status = cluster.Status(asked);
+    return status.is_object() ? status["members"].size() : 0;
+  }
+};
+
+TEST(Ownership, KeysOfAKilledProcessAreServedByOthers) {
+  StartLoad({0, 1, 2});
+  cluster.KillNode(5);
+  CHECK(cluster.WaitUntil([&] { return Members(0) == kNodes - 1; }));
+  CHECK(AllKeysServed(0));
+  EndLoad();
+}
+
+TEST(Ownership, AFrozenProcessLosesItsKeysAndComesBackAsAnother) {
+  const std::string before = cluster.MemberOf(5);
+  StartLoad({0, 1, 2});
+  cluster.NodeProcess(5).Signal(SIGSTOP);
+  CHECK(cluster.WaitUntil([&] { return Members(0) == kNodes - 1; }));
+  CHECK(AllKeysServed(0));
+  cluster.NodeProcess(5).Signal(SIGCONT);
+  CHECK(cluster.WaitReady());
+  CHECK(cluster.MemberOf(5) != before);
+  EndLoad();
+}
+
+TEST(Ownership, AShortFreezeChangesNoOwner) {
+  const std::string before = cluster.MemberOf(5);
+  StartLoad({0, 1, 2});
+  for (int i = 0; i < 5; ++i) {
+    cluster.NodeProcess(5).Signal(SIGSTOP);
+    cluster.RunFor(std::chrono::milliseconds(150));
+    cluster.NodeProcess(5).Signal(SIGCONT);
+    cluster.RunFor(std::chrono::milliseconds(600));
+  }
+  EndLoad();
+  STRCMP_EQUAL(before.c_str(), cluster.MemberOf(5).c_str());
+}
+
+TEST(Ownership, AProcessCutFromItsPeersLosesItsKeys) {
+  StartLoad({0, 1, 2});
+  for (std::size_t other = 0; other < 5; ++other) {
+    cluster.SetCut(5, other, true);
+  }
+  CHECK(cluster.WaitUntil(
+      [&] { return cluster.OwnerOf("key1", 0) != 5 && Members(0) >= 5; }));
+  CHECK(AllKeysServed(0));
+  for (std::size_t other = 0; other < 5; ++other) {
+    cluster.SetCut(5, other, false);
+  }
+  CHECK(cluster.WaitReady());
+  EndLoad();
+}
+
+TEST(Ownership, AProcessThatHearsNobodyGivesUpItsKeys) {
+  StartLoad({0, 1, 2});
+  cluster.SetRule("*", "node-5", "cut=1");
+  CHECK(cluster.WaitUntil([&] {
+    const auto status = cluster.Status(5);
+    return status.is_object() && status["owned_slices"] == 0;
+  }));
+  CHECK(AllKeysServed(0));
+  cluster.SetRule("*", "node-5", "cut=0");
+  CHECK(cluster.WaitReady());
+  EndLoad();
+}
+
+TEST(Ownership, ALogOutageStopsNothing) {
+  StartLoad({0, 1, 2, 3, 4, 5});
+  cluster.SetLog("down=1");
+  cluster.RunFor(std::chrono::seconds(5));
+  load->Stop();
+  CHECK(cluster.WaitUntil([&] { return load->open() == 0; }));
+  LONGS_EQUAL(load->results().size(),
+              CountOutcome(load->results(), "answered"));
+  cluster.SetLog("down=0");
+  EndLoad();
+}
+
+TEST(Ownership, ALossDuringALogOutageIsMadeGoodAfterIt) {
+  StartLoad({0, 1, 2});
+  cluster.SetLog("down=1");
+  cluster.KillNode(5);
+  cluster.RunFor(std::chrono::seconds(3));
+  cluster.SetLog("down=0");
+  CHECK(cluster.WaitUntil([&] { return Members(0) == kNodes - 1; }));
+  CHECK(AllKeysServed(0));
+  EndLoad();
+}
+
+TEST(Ownership, EachSideOfARegionSplitServesItsOwnKeys) {
+  const std::vector<std::size_t> near = {0, 1, 4, 5};
+  const std::vector<std::size_t> far = {2, 3};
+  StartLoad({0, 2});
+  for (std::size_t a : near) {
+    for (std::size_t b : far) {
+      cluster.SetCut(a, b, true);
+    }
+  }
+  for (std::size_t node : far) {
+    cluster.SetRule("*", "log-" + std::to_string(node), "cut=1");
+  }
+  cluster.RunFor(std::chrono::seconds(5));
+  LONGS_EQUAL(kNodes, Members(0));
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    CHECK(cluster.Status(node)["lease"].get<bool>());
+  }
+  for (std::size_t a : near) {
+    for (std::size_t b : far) {
+      cluster.SetCut(a, b, false);
+    }
+  }
+  for (std::size_t node : far) {
+    cluster.SetRule("*", "log-" + std::to_string(node), "cut=0");
+  }
+  CHECK(AllKeysServed(0));
+  CHECK(AllKeysServed(2));
+  EndLoad();
+}
+
+TEST(Ownership, APlannedStopCutsOffNoRequest) {
+  StartLoad({0, 1, 2, 5});
+  cluster.NodeProcess(4).Signal(SIGTERM);
+  CHECK(cluster.WaitUntil(
+      [&] { return cluster.NodeProcess(4).Poll().has_value(); }));
+  LONGS_EQUAL(0, *cluster.NodeProcess(4).Poll());
+  LONGS_EQUAL(kNodes - 1, Members(0));
+  cluster.RunFor(std::chrono::milliseconds(500));
+  load->Stop();
+  CHECK(cluster.WaitUntil([&] { return load->open() == 0; }));
+  LONGS_EQUAL(load->results().size(),
+              CountOutcome(load->results(), "answered"));
+  EndLoad();
+}
+
+TEST(Ownership, AReaderThatTheLogHasLeftBehindStartsOver) {
+  const std::string before = cluster.MemberOf(5);
+  cluster.SetRule("*", "log-5", "cut=1");
+  for (std::size_t other = 0; other < 5; ++other) {
+    cluster.SetCut(5, other, true);
+  }
+  for (int i = 0; i < 30; ++i) {
+    LONGS_EQUAL(0, cluster.Operate({"target", i % 2 == 0 ? "out" : "in",
+                                    "t4"}));
+  }
+  cluster.SetLog("retain=8");
+  for (std::size_t other = 0; other < 5; ++other) {
+    cluster.SetCut(5, other, false);
+  }
+  cluster.SetRule("*", "log-5", "cut=0");
+  CHECK(cluster.WaitReady(std::chrono::seconds(60)));
+  CHECK(cluster.MemberOf(5) != before);
+  CHECK(AllKeysServed(5));
+}
+
+TEST(Ownership, ARestartedTargetGetsItsKeysBackThroughANewMember) {
+  StartLoad({0, 1, 2});
+  cluster.KillTarget(5);
+  CHECK(cluster.WaitUntil([&] { return Members(0) == kNodes - 1; }));
+  CHECK(AllKeysServed(0));
+  cluster.StartTarget(5);
+  CHECK(cluster.WaitReady());
+  EndLoad();
+}
+
+TEST(Ownership, LateDoubledAndLostDatagramsBreakNothing) {
+  cluster.SetRule("*", "*", "delay_us=20000&loss=150&copies=300");
+  StartLoad({0, 1, 2});
+  cluster.RunFor(std::chrono::seconds(3));
+  EndLoad();
+  CHECK(AllKeysServed(0));
+}
+
+}  // namespace figlug::testing
