Add benchmarks; free a lost target's slices at once

A target that refuses connections runs nothing any more, so broken work is forgotten then; cancelled work still lingers. Calls to a lost owner spent their attempts before the takeover; they now wait like refused ones. Spans were flushed one by one.

Ruled out: a shorter linger for all; a target that hangs may still be running.

--- /dev/null
+++ b/bench/scenario_bench.cc
@@ -0,0 +1,455 @@
+// Runs scenarios with real processes and prints one table each, as CSV.
+
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <sstream>
+
+#include "figlug/testing/cluster.h"
+#include "figlug/testing/load.h"
+#include "programs.h"
+
+namespace {
+
+using namespace figlug;
+using core::Duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Cluster;
+using testing::Load;
+using testing::LoadOptions;
+using testing::LoadResult;
+using testing::NodeOptions;
+
+constexpr double kMicrosPerMilli = 1000;
+
+double Millis(Duration duration) {
+  return static_cast<double>(duration.count()) / kMicrosPerMilli;
+}
+
+std::vector<LoadResult> Between(const std::vector<LoadResult>& all,
+                                core::Time from,
+                                core::Time to) {
+  std::vector<LoadResult> some;
+  std::ranges::copy_if(all, std::back_inserter(some),
+                       [&](const LoadResult& result) {
+                         return result.m_started >= from &&
+                                result.m_started < to;
+                       });
+  return some;
+}
+
+std::size_t CountFailed(const std::vector<LoadResult>& results) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(results, [](const LoadResult& result) {
+        return result.m_outcome != "answered";
+      }));
+}
+
+void Drain(Cluster& cluster, Load& load) {
+  load.Stop();
+  const bool is_drained =
+      cluster.WaitUntil([&] { return load.open() == 0; });
+  if (!is_drained) {
+    std::printf("# some requests did not end\n");
+  }
+}
+
+void WaitOrWarn(bool is_ready) {
+  if (!is_ready) {
+    std::printf("# the cluster was not ready in time\n");
+  }
+}
+
+/// Adds the deployments' delays: 0.25 ms a way within a region, 4 ms between.
+void AddDelays(Cluster& cluster, const std::vector<NodeOptions>& nodes) {
+  for (std::size_t a = 0; a < nodes.size(); ++a) {
+    for (std::size_t b = 0; b < nodes.size(); ++b) {
+      if (a == b || nodes[a].m_domain == nodes[b].m_domain) {
+        continue;
+      }
+      const bool is_near = nodes[a].m_region == nodes[b].m_region;
+      cluster.SetRule(cluster.HostOf(a), "node-" + std::to_string(b),
+                      is_near ? "delay_us=500" : "delay_us=8000");
+    }
+  }
+}
+
+// One of four targets of a service without keys becomes slow; its health says
+// nothing of it.
+struct StragglerVariant {
+  const char* m_name;
+  const char* m_balancer;
+  const char* m_hedge_percent;
+};
+
+void RunStraggler(const StragglerVariant& variant, std::uint64_t seed) {
+  std::vector<NodeOptions> nodes;
+  for (std::size_t i = 0; i < 4; ++i) {
+    nodes.push_back(
+        {.m_region = "r1",
+         .m_domain = i < 2 ? "d1" : "d2",
+         .m_service = "menu",
+         .m_profile = "menu",
+         .m_target_arguments = {"--slots", "6", "--service-us", "4000"},
+         .m_settings =
+             std::string("[policy]\nbalancer = ") + variant.m_balancer +
+             "\n"});
+  }
+  Cluster cluster(testing::BuiltPrograms(), nodes);
+  cluster.StartAll();
+  WaitOrWarn(cluster.WaitReady());
+  cluster.Publish(std::string("name = menu\nkeyed = false\nrepeatable = "
+                              "true\ncold_limit = 4\nhedge_percent = ") +
+                  variant.m_hedge_percent + "\n");
+  AddDelays(cluster, nodes);
+  Load load(cluster.loop(), {.m_service = "menu",
+                             .m_ingresses = {cluster.HttpOf(0),
+                                             cluster.HttpOf(2)},
+                             .m_rate = 400,
+                             .m_seed = seed});
+  load.Start();
+  cluster.RunFor(seconds(2));
+  const core::Time calm = runtime::ReadClocks().m_time;
+  cluster.RunFor(seconds(5));
+  const core::Time slow = runtime::ReadClocks().m_time;
+  cluster.SetTarget(3, "service_us=60000");
+  cluster.RunFor(seconds(5));
+  const core::Time end = runtime::ReadClocks().m_time;
+  Drain(cluster, load);
+  const auto before = Between(load.results(), calm, slow);
+  const auto during = Between(load.results(), slow, end);
+  const double calm_p99 = Millis(LatencyQuantile(before, 0.99));
+  const double slow_p99 = Millis(LatencyQuantile(during, 0.99));
+  std::printf("%s,%lu,%.1f,%.1f,%.1f,%.1f,%.1f,%.2f,%zu\n", variant.m_name,
+              static_cast<unsigned long>(seed),
+              Millis(LatencyQuantile(before, 0.5)), calm_p99,
+              Millis(LatencyQuantile(during, 0.5)), slow_p99,
+              Millis(LatencyQuantile(during, 0.999)), slow_p99 / calm_p99,
+              CountFailed(load.results()));
+}
+
+void Straggler(std::uint64_t seeds) {
+  constexpr StragglerVariant kVariants[] = {
+      {"two-choices+hedge", "two-choices", "5"},
+      {"two-choices", "two-choices", "0"},
+      {"least-outstanding", "least-outstanding", "0"},
+      {"round-robin", "round-robin", "0"},
+      {"random", "random", "0"},
+  };
+  std::printf(
+      "variant,seed,calm_p50_ms,calm_p99_ms,slow_p50_ms,slow_p99_ms,"
+      "slow_p999_ms,p99_ratio,failed\n");
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (const StragglerVariant& variant : kVariants) {
+      RunStraggler(variant, seed);
+    }
+  }
+}
+
+/// Longest time without a success of a key, after a moment, although callers
+/// tried.
+Duration LongestGap(const std::vector<LoadResult>& results, core::Time from) {
+  std::map<std::uint32_t, std::vector<core::Time>> successes;
+  std::map<std::uint32_t, core::Time> last_try;
+  for (const LoadResult& result : results) {
+    if (result.m_outcome == "answered") {
+      successes[result.m_key].push_back(result.m_started + result.m_latency);
+    }
+  }
+  Duration longest{};
+  for (auto& [key, times] : successes) {
+    std::ranges::sort(times);
+    core::Time previous = from;
+    for (core::Time time : times) {
+      if (time > from) {
+        longest = std::max(longest, time - previous);
+        previous = time;
+      }
+    }
+  }
+  return longest;
+}
+
+// A key is served again within one second of a loss.
+void RunTakeover(const std::string& fault, std::uint64_t seed) {
+  const auto nodes = testing::SpreadNodes(8, "orders", {"--no-fence"});
+  Cluster cluster(testing::BuiltPrograms(), nodes);
+  cluster.StartAll();
+  WaitOrWarn(cluster.WaitReady());
+  cluster.Publish("name = orders\nrepeatable = true\ncold_limit = 16\n"
+                  "retry_percent = 100\nmax_attempts = 5\n");
+  AddDelays(cluster, nodes);
+  Load load(cluster.loop(), {.m_service = "orders",
+                             .m_ingresses = {cluster.HttpOf(0),
+                                             cluster.HttpOf(1)},
+                             .m_rate = 500,
+                             .m_keys = 40,
+                             .m_timeout = seconds(3),
+                             .m_seed = seed});
+  load.Start();
+  cluster.RunFor(seconds(2));
+  const core::Time lost = runtime::ReadClocks().m_time;
+  if (fault == "kill") {
+    cluster.KillNode(5);
+  } else if (fault == "freeze") {
+    cluster.NodeProcess(5).Signal(SIGSTOP);
+  } else if (fault == "cut") {
+    for (std::size_t other = 0; other < nodes.size(); ++other) {
+      if (other != 5) {
+        cluster.SetCut(5, other, true);
+      }
+    }
+  } else if (fault == "target") {
+    cluster.KillTarget(5);
+  } else if (fault == "stop") {
+    cluster.NodeProcess(5).Signal(SIGTERM);
+  }
+  cluster.RunFor(seconds(3));
+  Drain(cluster, load);
+  std::printf("%s,%lu,%.0f,%zu,%zu\n", fault.c_str(),
+              static_cast<unsigned long>(seed),
+              Millis(LongestGap(load.results(), lost)),
+              CountFailed(load.results()), load.results().size());
+}
+
+void Takeover(std::uint64_t seeds) {
+  std::printf("fault,seed,longest_gap_ms,failed,requests\n");
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (const char* fault :
+         {"none", "stop", "target", "kill", "freeze", "cut"}) {
+      RunTakeover(fault, seed);
+    }
+  }
+}
+
+// A failure domain leaves and returns under load.
+void RunDomain(std::uint64_t seed) {
+  const auto nodes = testing::SpreadNodes(8);
+  Cluster cluster(testing::BuiltPrograms(), nodes);
+  cluster.StartAll();
+  WaitOrWarn(cluster.WaitReady());
+  cluster.Publish("name = orders\nrepeatable = true\ncold_limit = 4\n");
+  AddDelays(cluster, nodes);
+  Load load(cluster.loop(), {.m_service = "orders",
+                             .m_ingresses = {cluster.HttpOf(0),
+                                             cluster.HttpOf(2)},
+                             .m_rate = 400,
+                             .m_seed = seed});
+  load.Start();
+  cluster.RunFor(seconds(1));
+  const core::Time start = runtime::ReadClocks().m_time;
+  cluster.RunFor(seconds(3));
+  const core::Time out = runtime::ReadClocks().m_time;
+  cluster.Operate({"domain", "out", "d2"});
+  cluster.RunFor(seconds(3));
+  const core::Time in = runtime::ReadClocks().m_time;
+  cluster.Operate({"domain", "in", "d2"});
+  cluster.RunFor(seconds(3));
+  const core::Time end = runtime::ReadClocks().m_time;
+  Drain(cluster, load);
+  std::int64_t last_start = 0;
+  for (const testing::RunEvent& run : cluster.Runs()) {
+    const bool is_out_domain = run.m_target == "t1" || run.m_target == "t5";
+    if (is_out_domain && run.m_event == "start" &&
+        run.m_at_us < in.time_since_epoch().count()) {
+      last_start = std::max(last_start, run.m_at_us);
+    }
+  }
+  const auto p99 = [&](core::Time from, core::Time to) {
+    return Millis(LatencyQuantile(Between(load.results(), from, to), 0.99));
+  };
+  std::printf("%lu,%.1f,%.1f,%.1f,%.0f,%zu,%zu\n",
+              static_cast<unsigned long>(seed), p99(start, out), p99(out, in),
+              p99(in, end),
+              static_cast<double>(last_start - out.time_since_epoch().count()) /
+                  kMicrosPerMilli,
+              CountFailed(load.results()), load.results().size());
+}
+
+void Domain(std::uint64_t seeds) {
+  std::printf(
+      "seed,before_p99_ms,out_p99_ms,back_p99_ms,last_work_after_out_ms,"
+      "failed,requests\n");
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    RunDomain(seed);
+  }
+}
+
+// A restarted target bears one request at once for two seconds.
+void RunCold(const char* name, const std::string& limits, std::uint64_t seed) {
+  const auto nodes =
+      testing::SpreadNodes(4, "orders", {"--cold-ms", "2000", "--slots", "9",
+                                         "--service-us", "4000"});
+  Cluster cluster(testing::BuiltPrograms(), nodes);
+  cluster.StartAll();
+  WaitOrWarn(cluster.WaitReady());
+  cluster.Publish("name = orders\nrepeatable = true\n" + limits);
+  cluster.RunFor(milliseconds(2500));
+  Load load(cluster.loop(), {.m_service = "orders",
+                             .m_ingresses = {cluster.HttpOf(0)},
+                             .m_rate = 900,
+                             .m_seed = seed});
+  load.Start();
+  cluster.RunFor(seconds(3));
+  cluster.KillTarget(3);
+  cluster.RunFor(seconds(1));
+  cluster.StartTarget(3);
+  cluster.RunFor(seconds(5));
+  Drain(cluster, load);
+  std::int64_t most_held = 0;
+  for (const testing::RunEvent& run : cluster.Runs()) {
+    if (run.m_target == "t3" && run.m_slots == 1) {
+      most_held = std::max(most_held, run.m_held);
+    }
+  }
+  std::printf("%s,%lu,%ld,%.1f,%zu,%zu\n", name,
+              static_cast<unsigned long>(seed), static_cast<long>(most_held),
+              Millis(LatencyQuantile(load.results(), 0.99)),
+              CountFailed(load.results()), load.results().size());
+}
+
+void Cold(std::uint64_t seeds) {
+  std::printf("variant,seed,most_held_while_cold,p99_ms,failed,requests\n");
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    RunCold("limit+warm-up", "cold_limit = 2\nwarm_up_ms = 3000\n", seed);
+    RunCold("limit", "cold_limit = 2\nwarm_up_ms = 0\n", seed);
+    RunCold("no limit", "cold_limit = 64\nwarm_up_ms = 0\n", seed);
+  }
+}
+
+struct Usage {
+  double m_cpu_seconds = 0;
+  double m_resident_mib = 0;
+};
+
+Usage UsageOf(pid_t pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(in, text);
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) {
+    fields >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  for (int i = 0; i < 8; ++i) {
+    fields >> skipped;
+  }
+  double pages = 0;
+  fields >> pages;
+  return {(user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)),
+          pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20)};
+}
+
+// What a hop costs, against the target without any.
+void Hops() {
+  std::printf("path,rate,p50_ms,p99_ms,cpu_us_a_request,resident_mib\n");
+  Cluster cluster(testing::BuiltPrograms(),
+                  testing::SpreadNodes(
+                      2, "orders", {"--slots", "64", "--service-us", "500"}));
+  cluster.StartAll();
+  WaitOrWarn(cluster.WaitReady());
+  cluster.Publish("name = orders\ncold_limit = 64\n");
+  const auto owner = cluster.OwnerOf("key0", 0).value_or(0);
+  const core::Endpoint target{cluster.HostOf(owner), 7300};
+  for (double rate : {500.0, 2000.0, 4000.0}) {
+    for (const auto& [name, ingress] :
+         {std::pair("direct", target),
+          std::pair("one hop", cluster.HttpOf(owner)),
+          std::pair("two hops", cluster.HttpOf(1 - owner))}) {
+      Usage before[2] = {UsageOf(cluster.NodeProcess(0).pid()),
+                         UsageOf(cluster.NodeProcess(1).pid())};
+      Load load(cluster.loop(), {.m_service = "orders",
+                                 .m_ingresses = {ingress},
+                                 .m_rate = rate,
+                                 .m_keys = 1});
+      load.Start();
+      cluster.RunFor(seconds(4));
+      Drain(cluster, load);
+      double cpu = 0;
+      double resident = 0;
+      for (std::size_t i = 0; i < 2; ++i) {
+        const Usage after = UsageOf(cluster.NodeProcess(i).pid());
+        cpu += after.m_cpu_seconds - before[i].m_cpu_seconds;
+        resident = std::max(resident, after.m_resident_mib);
+      }
+      std::printf("%s,%.0f,%.2f,%.2f,%.0f,%.1f\n", name, rate,
+                  Millis(LatencyQuantile(load.results(), 0.5)),
+                  Millis(LatencyQuantile(load.results(), 0.99)),
+                  cpu * 1e6 / static_cast<double>(load.results().size()),
+                  resident);
+    }
+  }
+}
+
+// What control costs a process that serves nothing, by the number of members.
+void RunControl(std::size_t members) {
+  Cluster cluster(testing::BuiltPrograms(), testing::SpreadNodes(members));
+  cluster.StartAll();
+  WaitOrWarn(cluster.WaitReady(seconds(120)));
+  cluster.RunFor(seconds(3));
+  const auto heartbeat_bytes = [&] {
+    const auto answer = cluster.Fetch(0, {"GET", "/figlug/metrics", {}, ""});
+    const std::string name = "\nfiglug_heartbeat_bytes ";
+    const std::size_t at = answer ? answer->m_body.rfind(name) : 0;
+    return answer ? std::stod(answer->m_body.substr(at + name.size())) : 0;
+  };
+  const Usage before = UsageOf(cluster.NodeProcess(0).pid());
+  const double bytes = heartbeat_bytes();
+  constexpr double kSeconds = 10;
+  cluster.RunFor(seconds(10));
+  const Usage after = UsageOf(cluster.NodeProcess(0).pid());
+  std::printf("%zu,%.2f,%.1f,%.0f\n", members,
+              100 * (after.m_cpu_seconds - before.m_cpu_seconds) / kSeconds,
+              after.m_resident_mib, (heartbeat_bytes() - bytes) / kSeconds);
+}
+
+void Control() {
+  std::printf("members,core_percent,resident_mib,heartbeat_bytes_a_second\n");
+  for (std::size_t members : {4, 12, 24, 48, 80}) {
+    RunControl(members);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command(
+      "Runs a scenario: straggler, takeover, domain, cold, hops or control",
+      ' ', "0.1");
+  TCLAP::ValueArg<std::uint64_t> seeds("n", "seeds", "Seeds to run", false, 3,
+                                       "N", command);
+  TCLAP::UnlabeledValueArg<std::string> name("scenario", "Scenario", true, "",
+                                             "NAME", command);
+  command.parse(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  const std::string& scenario = name.getValue();
+  if (scenario == "straggler") {
+    Straggler(seeds.getValue());
+  } else if (scenario == "takeover") {
+    Takeover(seeds.getValue());
+  } else if (scenario == "domain") {
+    Domain(seeds.getValue());
+  } else if (scenario == "cold") {
+    Cold(seeds.getValue());
+  } else if (scenario == "hops") {
+    Hops();
+  } else if (scenario == "control") {
+    Control();
+  } else {
+    std::fprintf(stderr, "scenario_bench: unknown scenario %s\n",
+                 scenario.c_str());
+    return 2;
+  }
+  return 0;
+}
--- a/core/include/figlug/core/gate.h
+++ b/core/include/figlug/core/gate.h
@@ -53,8 +53,9 @@
   void Cancel(Time now, WorkId work, const GateView& view, Actions& out);
   /// \brief Takes up changes of ownership, lease or profile.
   void Refresh(Time now, const GateView& view, Actions& out);
-  /// \brief The target was restarted or lost its caches.
-  void OnTargetCold() noexcept { m_limit.Reset(); }
+  /// \brief The target's process is gone, and with it all work whose
+  /// connection it broke.
+  void OnTargetGone() noexcept;
 
   /// \brief Tells whether work of a slice may still run at the target.
   [[nodiscard]] bool IsBusy(Time now, SliceIndex slice) const;
@@ -86,14 +87,16 @@
                 Actions& out);
   void Refuse(WorkId id, Reason reason, const GateView& view, Actions& out);
   void Pump(Time now, const GateView& view, Actions& out);
-  void Linger(const Work& work);
+  static void Linger(const Work& work, std::map<SliceIndex, Time>& slices);
 
   std::unordered_map<WorkId, Work> m_work;
   std::deque<WorkId> m_queue;
   std::uint32_t m_running = 0;
   std::map<SliceIndex, std::uint32_t> m_running_by_slice;
   /// Slices whose abandoned work may still run, until its deadline.
-  std::map<SliceIndex, Time> m_lingering;
+  std::map<SliceIndex, Time> m_abandoned;
+  /// The same for work whose connection the target broke.
+  std::map<SliceIndex, Time> m_broken;
   ConcurrencyLimit m_limit{LimitBounds{}};
 };
 
--- a/core/src/gate.cc
+++ b/core/src/gate.cc
@@ -1,6 +1,7 @@
 #include "figlug/core/gate.h"
 
 #include <algorithm>
+#include <initializer_list>
 
 namespace figlug::core {
 
@@ -116,7 +117,8 @@
       break;
     case Outcome::kUnknown:
       m_limit.Reset();
-      Linger(work);
+      Linger(work, result.m_reason == Reason::kTargetFailed ? m_broken
+                                                            : m_abandoned);
       break;
   }
   --m_running;
@@ -140,7 +142,7 @@
   Work& work = it->second;
   if (work.m_running) {
     out.emplace_back(CancelWork{id});
-    Linger(work);
+    Linger(work, m_abandoned);
     --m_running;
     if (--m_running_by_slice[work.m_head.m_slice] == 0) {
       m_running_by_slice.erase(work.m_head.m_slice);
@@ -153,14 +155,21 @@
 }
 
 // A target that honours deadlines has ended abandoned work by then.
-void Gate::Linger(const Work& work) {
-  Time& until = m_lingering[work.m_head.m_slice];
+void Gate::Linger(const Work& work, std::map<SliceIndex, Time>& slices) {
+  Time& until = slices[work.m_head.m_slice];
   until = std::max(until, work.m_deadline);
 }
 
+void Gate::OnTargetGone() noexcept {
+  m_limit.Reset();
+  m_broken.clear();
+}
+
 void Gate::Refresh(Time now, const GateView& view, Actions& out) {
-  std::erase_if(m_lingering,
-                [&](const auto& entry) { return entry.second <= now; });
+  for (auto* slices : {&m_abandoned, &m_broken}) {
+    std::erase_if(*slices,
+                  [&](const auto& entry) { return entry.second <= now; });
+  }
   Pump(now, view, out);
 }
 
@@ -191,8 +200,13 @@
   if (m_running_by_slice.contains(slice)) {
     return true;
   }
-  const auto it = m_lingering.find(slice);
-  return it != m_lingering.end() && now < it->second;
+  return std::ranges::any_of(
+      std::initializer_list<const std::map<SliceIndex, Time>*>{&m_abandoned,
+                                                               &m_broken},
+      [&](const auto* slices) {
+        const auto it = slices->find(slice);
+        return it != slices->end() && now < it->second;
+      });
 }
 
 Time Gate::NextDeadline() const noexcept {
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -274,6 +274,12 @@
     return;
   }
   const Profile& profile = view.m_state.ProfileOf(call.m_head.m_service);
+  const bool is_moving = reason == Reason::kPeerLost &&
+                         now < call.m_started + profile.m_queue_wait;
+  if (profile.m_repeatable && is_moving && now < call.m_deadline) {
+    RetryLater(now, id, call);
+    return;
+  }
   if (profile.m_repeatable && now < call.m_deadline &&
       call.m_attempts < profile.m_max_attempts &&
       m_services[call.m_head.m_service].m_retries.Withdraw()) {
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -69,7 +69,7 @@
     JoinIfReady(now);
     return;
   }
-  m_gate.OnTargetCold();
+  m_gate.OnTargetGone();
   if (FindSelf() != nullptr && !m_stopping_since) {
     Append(now, DrainRecord{m_settings.m_self.m_id});
   }
--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -128,9 +128,9 @@
   DatagramSocket m_datagrams;
   ConnectionProbe m_probe;
   LogFollower<Log> m_follower;
+  SpanWriter m_spans;
   Timer m_timer;
   core::Time m_timer_at = core::kNever;
-  SpanWriter m_spans;
   Metrics m_metrics;
   bool m_log_answers = false;
   std::uint64_t m_last_work = 0;
--- a/runtime/include/figlug/runtime/span_writer.h
+++ b/runtime/include/figlug/runtime/span_writer.h
@@ -9,6 +9,7 @@
 
 #include "figlug/core/outcome.h"
 #include "figlug/core/time.h"
+#include "figlug/runtime/event_loop.h"
 #include "figlug/runtime/runtime_error.h"
 #include "figlug/runtime/trace_context.h"
 
@@ -29,13 +30,22 @@
 /// \brief Appends spans to a file, one JSON object a line.
 class SpanWriter {
  public:
+  explicit SpanWriter(EventLoop& loop) : m_flush(loop, [this] { Flush(); }) {}
+
   /// \brief Opens the file; an empty name turns spans off.
   [[nodiscard]] tl::expected<void, RuntimeError> Open(const std::string& file);
   [[nodiscard]] bool is_open() const noexcept { return m_is_open; }
+  /// \brief Takes a span; it reaches the file within kFlushPeriod.
   void Write(const Span& span);
 
+  /// \brief Longest time a span stays in memory.
+  static constexpr core::Duration kFlushPeriod = std::chrono::milliseconds(500);
+
  private:
+  void Flush();
+
   std::ofstream m_file;
+  Timer m_flush;
   bool m_is_open = false;
 };
 
--- a/runtime/src/daemon.cc
+++ b/runtime/src/daemon.cc
@@ -172,6 +172,7 @@
                 });
               }),
       m_follower(loop, log, MakeLogHandlers()),
+      m_spans(loop),
       m_timer(loop, [this] {
         m_timer_at = core::kNever;
         Drive([&](core::Now now, auto& sink) { m_node.OnTimer(now, sink); });
--- a/runtime/src/span_writer.cc
+++ b/runtime/src/span_writer.cc
@@ -17,9 +17,15 @@
         RuntimeError{"open trace file " + file, std::strerror(errno)});
   }
   m_is_open = true;
+  Flush();
   return {};
 }
 
+void SpanWriter::Flush() {
+  m_file.flush();
+  m_flush.Set(kFlushPeriod);
+}
+
 void SpanWriter::Write(const Span& span) {
   if (!m_is_open) {
     return;
@@ -35,7 +41,7 @@
       {"outcome", core::ToString(span.m_outcome)},
       {"reason", core::ToString(span.m_reason)},
   };
-  m_file << line.dump() << '\n' << std::flush;
+  m_file << line.dump() << '\n';
 }
 
 }  // namespace figlug::runtime
--- a/testing/src/load.cc
+++ b/testing/src/load.cc
@@ -66,7 +66,12 @@
   m_timer.Set(std::max(due_at(m_sent) - now, kTick));
 }
 
+// Without skew the keys come in turn, so that a gap of a key shows a fault and
+// not chance.
 std::uint32_t Load::PickKey() {
+  if (m_options.m_skew == 0) {
+    return static_cast<std::uint32_t>(m_sent % m_options.m_keys);
+  }
   const double point =
       static_cast<double>(m_random() >> 11) * 0x1p-53 * m_key_weights.back();
   const auto it = std::ranges::lower_bound(m_key_weights, point);
