Batch release records; grow the limit only on work under it

Cause: each weight step of a joining member made every member of its service append a release record, some 17,000 at a restart of 450 nodes by reckoning. A test of the limit showed it growing, just after a fall back to cold, on answers to work admitted under the old limit (11 where 2 was due).

Ruled out: leaving release records out; a later owner would have to ask every former one.

Change: new owners are told at once as before, the record comes at most once a second; answers beyond the limit do not raise it.

--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -274,6 +274,10 @@
   std::optional<Time> m_stopping_since;
   bool m_leaving = false;
   bool m_stop_reported = false;
+  Time m_next_release_record{};
+  /// Epoch under which each slice's new owner was told of the release.
+  std::map<SliceIndex, Offset> m_told_releases;
+  /// Epoch under which each slice's release was put on record.
   std::map<SliceIndex, Offset> m_logged_releases;
 };
 
--- a/core/src/concurrency_limit.cc
+++ b/core/src/concurrency_limit.cc
@@ -45,7 +45,9 @@
     Shrink(now, kShrinkOnSlow);
     return;
   }
-  if (in_flight + 1 < m_limit) {
+  // Only work at the limit tells whether more is borne; more than the limit was
+  // admitted under an older one.
+  if (in_flight + 1 < m_limit || in_flight > value()) {
     return;
   }
   m_limit += m_is_slow_start ? kSlowStartStep : 1 / m_limit;
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -1,6 +1,7 @@
 #include "figlug/core/node.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "figlug/core/watcher_choice.h"
 
@@ -11,6 +12,7 @@
 constexpr std::uint32_t kWarmUpSteps = 3;
 constexpr Duration kReviewPeriod = std::chrono::milliseconds(50);
 constexpr Duration kReleaseQueryPeriod = std::chrono::milliseconds(100);
+constexpr Duration kReleaseRecordPeriod = std::chrono::seconds(1);
 constexpr Duration kRecordsQueryPeriod = std::chrono::milliseconds(300);
 constexpr Duration kFirstAppendBackoff = std::chrono::milliseconds(500);
 constexpr Duration kMostAppendBackoff = std::chrono::seconds(5);
@@ -167,6 +169,7 @@
   m_watcher = LeaseWatcher(m_settings.m_timing);
   m_ownership = Ownership(kNoMember);
   m_appends.clear();
+  m_told_releases.clear();
   m_logged_releases.clear();
 }
 
@@ -456,31 +459,40 @@
   }
 }
 
-// The new owners hear directly; the log hears once for each loss, so that a
-// later owner need not ask.
+// The new owners hear at once. The log hears in batches, so that later owners
+// need not ask; many moves in a short time make few records.
 void Node::GiveReleases(Now now) {
   const Service* service = m_state.FindService(m_settings.m_self.m_service);
-  if (service == nullptr || FindSelf() == nullptr) {
+  const Member* self = FindSelf();
+  if (service == nullptr || self == nullptr) {
     return;
   }
   std::map<MemberId, std::vector<SliceIndex>> by_owner;
   ReleaseRecord record{m_settings.m_self.m_id, m_state.next() - 1, {}};
   for (SliceIndex index : m_ownership.OwedReleases()) {
-    const Slice& slice = service->m_slices[index];
-    Offset& logged = m_logged_releases[index];
-    if (logged == slice.m_epoch || m_gate.IsBusy(now.m_time, index)) {
+    if (m_gate.IsBusy(now.m_time, index)) {
       continue;
     }
-    logged = slice.m_epoch;
-    record.m_slices.push_back(index);
-    by_owner[slice.m_owner].push_back(index);
+    const Slice& slice = service->m_slices[index];
+    if (std::exchange(m_told_releases[index], slice.m_epoch) != slice.m_epoch) {
+      by_owner[slice.m_owner].push_back(index);
+    }
+    if (m_logged_releases[index] != slice.m_epoch) {
+      record.m_slices.push_back(index);
+    }
   }
   for (const auto& [owner, slices] : by_owner) {
     SendRelease(now, owner, slices);
   }
-  if (!record.m_slices.empty()) {
-    Append(now, std::move(record));
+  const bool is_due = self->m_draining || now.m_time >= m_next_release_record;
+  if (record.m_slices.empty() || !is_due) {
+    return;
+  }
+  m_next_release_record = now.m_time + kReleaseRecordPeriod;
+  for (SliceIndex index : record.m_slices) {
+    m_logged_releases[index] = service->m_slices[index].m_epoch;
   }
+  Append(now, std::move(record));
 }
 
 void Node::SendRelease(Now now,
--- a/figlugctl/main.cc
+++ b/figlugctl/main.cc
@@ -15,10 +15,10 @@
     "Exit codes: 0 done, 1 refused, 2 bad input, 3 log unreachable or outcome "
     "unknown.";
 
-}  // namespace
-
-int main(int argc, char** argv) {
+// A command line that is not understood is bad input; help is not.
+int Run(int argc, char** argv) {
   TCLAP::CmdLine command(kHelp, ' ', "0.1");
+  command.setExceptionHandling(false);
   TCLAP::ValueArg<std::string> log("l", "log", "Address of the log service",
                                    true, "", "IP:PORT", command);
   TCLAP::ValueArg<std::uint64_t> expect(
@@ -52,3 +52,17 @@
   }
   return figlug::ctl::RunCommand(request);
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "figlugctl: " << error.argId() << ": " << error.error()
+              << '\n';
+    return figlug::ctl::kExitBadInput;
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  }
+}
--- a/figlugd/main.cc
+++ b/figlugd/main.cc
@@ -42,11 +42,10 @@
   return 0;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int RunCommandLine(int argc, char** argv) {
   TCLAP::CmdLine command("Routes requests to the sole owner of their key", ' ',
                          "0.1");
+  command.setExceptionHandling(false);
   TCLAP::ValueArg<std::string> file("s", "settings", "INI file of settings",
                                     true, "", "FILE", command);
   TCLAP::SwitchArg check("c", "check-settings",
@@ -73,3 +72,16 @@
   std::signal(SIGPIPE, SIG_IGN);
   return Run(*settings);
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return RunCommandLine(argc, argv);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "figlugd: " << error.argId() << ": " << error.error() << '\n';
+    return kExitBadSettings;
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  }
+}
--- a/tests/operators_test.cc
+++ b/tests/operators_test.cc
@@ -85,6 +85,8 @@
 TEST(Operators, BadInputIsRefused) {
   LONGS_EQUAL(2, cluster.Operate({"domain", "out", "nowhere"}));
   LONGS_EQUAL(2, cluster.Operate({"fly"}));
+  LONGS_EQUAL(2, cluster.Operate({"--fly", "status"}));
+  LONGS_EQUAL(0, cluster.Operate({"--help"}));
   LONGS_EQUAL(2, cluster.Operate({"publish", "/nowhere.ini"}));
   LONGS_EQUAL(2, cluster.Publish("name = orders\ncold_limit = 0\n"));
   LONGS_EQUAL(2, cluster.Operate({"force-down", "12"}));
