--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -259,6 +259,8 @@
   Generation m_generation = 0;
   Time m_next_heartbeat{};
   Time m_next_review{};
+  /// State for which the watchers were last found good.
+  Offset m_reviewed = 0;
   Time m_next_watchers{};
   Duration m_watchers_backoff{};
   Time m_next_release_query{};
--- a/core/include/figlug/core/watcher_choice.h
+++ b/core/include/figlug/core/watcher_choice.h
@@ -14,6 +14,9 @@
 /// \brief Watchers a member has when there are enough others.
 inline constexpr std::size_t kWatchersPerMember = 3;
 
+/// \brief Members that one member watches before others look elsewhere.
+inline constexpr std::size_t kMostDuties = 2 * kWatchersPerMember;
+
 /// \brief Chooses a member's watchers: one in its own domain, one in another
 /// domain of its region, one in another region, where there are such.
 /// \param avoid Members to take only when there are no others.
@@ -25,6 +28,10 @@
     const ControlState& state,
     std::span<const MemberId> avoid);
 
+/// \brief Tells whether one of the watchers watches more than kMostDuties.
+[[nodiscard]] bool IsOverloaded(const ControlState& state,
+                                std::span<const MemberId> watchers);
+
 /// \brief Rates how well a watcher set outlives the loss of a domain and a
 /// split of the regions.
 /// \returns 0 to 4; more is better.
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -399,14 +399,20 @@
         const Member* member = m_state.FindMember(watcher);
         return member == nullptr || member->m_draining;
       });
+  if (!is_worn && silent.empty() && m_reviewed == m_state.next()) {
+    return;
+  }
   const std::vector<MemberId> next =
       ChooseWatchers(m_settings.m_self, m_state, silent);
   const bool is_better =
       next.size() > self->m_watchers.size() ||
       RateWatchers(m_settings.m_self, m_state, next) >
           RateWatchers(m_settings.m_self, m_state, self->m_watchers);
-  const bool may_wait = !silent.empty() || is_better;
+  const bool is_uneven =
+      IsOverloaded(m_state, self->m_watchers) && !IsOverloaded(m_state, next);
+  const bool may_wait = !silent.empty() || is_better || is_uneven;
   if (next == self->m_watchers || (!is_worn && !may_wait)) {
+    m_reviewed = m_state.next();
     return;
   }
   if (!is_worn) {
--- a/core/src/watcher_choice.cc
+++ b/core/src/watcher_choice.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <utility>
+#include <tuple>
+#include <unordered_map>
 
 #include <xxhash.h>
 
@@ -26,10 +27,23 @@
   return XXH3_64bits(ids, sizeof(ids));
 }
 
+std::unordered_map<MemberId, std::size_t> CountDuties(
+    const ControlState& state) {
+  std::unordered_map<MemberId, std::size_t> duties;
+  for (const auto& [id, member] : state.members()) {
+    for (MemberId watcher : member.m_watchers) {
+      ++duties[watcher];
+    }
+  }
+  return duties;
+}
+
 bool Contains(std::span<const MemberId> members, MemberId id) {
   return std::ranges::find(members, id) != members.end();
 }
 
+// Members that watch no more than their share come first, in an order of their
+// own for each member.
 std::vector<const Member*> OrderCandidates(const MemberInfo& self,
                                            const ControlState& state,
                                            std::span<const MemberId> avoid) {
@@ -39,9 +53,13 @@
       others.push_back(&member);
     }
   }
+  const auto duties = CountDuties(state);
   const auto order = [&](const Member* member) {
     const MemberId id = member->m_info.m_id;
-    return std::pair(Contains(avoid, id), Score(self.m_id, id));
+    const auto it = duties.find(id);
+    const std::size_t load = it == duties.end() ? 0 : it->second;
+    return std::tuple(Contains(avoid, id), std::max(load, kWatchersPerMember),
+                      Score(self.m_id, id));
   };
   std::ranges::sort(others, std::less<>{}, order);
   return others;
@@ -77,6 +95,15 @@
   return chosen;
 }
 
+bool IsOverloaded(const ControlState& state,
+                  std::span<const MemberId> watchers) {
+  const auto duties = CountDuties(state);
+  return std::ranges::any_of(watchers, [&](MemberId watcher) {
+    const auto it = duties.find(watcher);
+    return it != duties.end() && it->second > kMostDuties;
+  });
+}
+
 std::size_t RateWatchers(const MemberInfo& self,
                          const ControlState& state,
                          std::span<const MemberId> watchers) {
--- a/core/tests/parts_test.cc
+++ b/core/tests/parts_test.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <map>
+#include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -9,6 +11,7 @@
 #include "figlug/core/control_state.h"
 #include "figlug/core/latency_window.h"
 #include "figlug/core/request_id_filter.h"
+#include "figlug/core/watcher_choice.h"
 
 namespace figlug::core {
 namespace {
@@ -154,6 +157,31 @@
   CHECK(!state.Apply(Entry(1, ProfileRecord{profile, 1})).m_applied);
 }
 
+TEST(Parts, WatchersAreSpreadOverMembers) {
+  ControlState state;
+  std::vector<MemberInfo> infos;
+  for (std::uint64_t i = 1; i <= 80; ++i) {
+    MemberInfo info{.m_id = MemberId(i * 7919), .m_service = "s"};
+    info.m_region = i % 4 < 2 ? "r1" : "r2";
+    info.m_domain = "d" + std::to_string(i % 4);
+    infos.push_back(info);
+    state.Apply(Entry(state.next(), JoinRecord{info, {}}));
+  }
+  std::map<MemberId, std::size_t> duties;
+  for (const MemberInfo& info : infos) {
+    const auto watchers = ChooseWatchers(info, state, {});
+    LONGS_EQUAL(kWatchersPerMember, watchers.size());
+    LONGS_EQUAL(4, RateWatchers(info, state, watchers));
+    state.Apply(Entry(state.next(), WatchersRecord{info.m_id, 2, watchers}));
+    for (MemberId watcher : watchers) {
+      ++duties[watcher];
+    }
+  }
+  for (const auto& [id, count] : duties) {
+    CHECK(count <= kMostDuties);
+  }
+}
+
 TEST(Parts, AnAppendThatArrivesTwiceCountsOnce) {
   ControlState state;
   LogEntry entry = Entry(0, ProfileRecord{Profile{.m_name = "p"}, 0});
