--- a/bench/scenario_bench.cc
+++ b/bench/scenario_bench.cc
@@ -140,7 +140,7 @@
 }
 
 void Straggler(std::uint64_t seeds) {
-  constexpr StragglerVariant kVariants[] = {
+  constexpr StragglerVariant variants[] = {
       {"two-choices+hedge", "two-choices", "5"},
       {"two-choices", "two-choices", "0"},
       {"least-outstanding", "least-outstanding", "0"},
@@ -151,7 +151,7 @@
       "variant,seed,calm_p50_ms,calm_p99_ms,slow_p50_ms,slow_p99_ms,"
       "slow_p999_ms,p99_ratio,failed\n");
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    for (const StragglerVariant& variant : kVariants) {
+    for (const StragglerVariant& variant : variants) {
       RunStraggler(variant, seed);
     }
   }
@@ -412,12 +412,12 @@
   };
   const Usage before = UsageOf(cluster.NodeProcess(0).pid());
   const double bytes = heartbeat_bytes();
-  constexpr double kSeconds = 10;
+  constexpr double span_seconds = 10;
   cluster.RunFor(seconds(10));
   const Usage after = UsageOf(cluster.NodeProcess(0).pid());
   std::printf("%zu,%.2f,%.1f,%.0f\n", members,
-              100 * (after.m_cpu_seconds - before.m_cpu_seconds) / kSeconds,
-              after.m_resident_mib, (heartbeat_bytes() - bytes) / kSeconds);
+              100 * (after.m_cpu_seconds - before.m_cpu_seconds) / span_seconds,
+              after.m_resident_mib, (heartbeat_bytes() - bytes) / span_seconds);
 }
 
 void Control() {
--- a/testing/src/fault_proxy.cc
+++ b/testing/src/fault_proxy.cc
@@ -219,7 +219,9 @@
     }
   }
 
-  void ForwardDatagram(Link& link, const std::string& from, std::string bytes) {
+  void ForwardDatagram(Link& link,
+                       const std::string& from,
+                       const std::string& bytes) {
     const Rule rule = RuleOf(from, link.m_name);
     m_bytes[{from, link.m_name}] += bytes.size();
     const auto chance = [&](std::int64_t permille) {
