Spread a badly spread watcher set at once

Cause: the run of all checks failed once in EachSideOfARegionSplit: a node had no lease during the split. Improvements of a watcher set waited with the backoff of silent watchers, so early members still had two watchers in the other region when the split began.

Ruled out: a vote across the split; all eight members were on record.

Change: a better spread is taken at once unless a silent watcher was replaced lately; the test waits for the spread before it splits.

--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -261,7 +261,7 @@
   Time m_next_review{};
   /// State for which the watchers were last found good.
   Offset m_reviewed = 0;
-  Time m_next_watchers{};
+  Time m_next_watchers = Time::min();
   Duration m_watchers_backoff{};
   Time m_next_release_query{};
   Time m_next_records_query{};
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -384,9 +384,9 @@
   }
 }
 
-// A watcher that is off the record is replaced at once. One that is silent, or
-// a set that is badly spread, waits longer each time: during a split each
-// choice would fail again.
+// A watcher that is off the record is replaced at once, and a set that can be
+// spread better too. One that is silent waits longer each time, and so does all
+// else for a while: during a split each choice would fail again.
 void Node::ReviewWatchers(Now now) {
   const Member* self = FindSelf();
   if (self == nullptr || !m_log_healthy || m_lease.has_proposal() ||
@@ -415,11 +415,12 @@
     m_reviewed = m_state.next();
     return;
   }
-  if (!is_worn) {
+  const bool is_calm = m_next_watchers == Time::min() ||
+                       now.m_time > m_next_watchers + kWatchersCalm;
+  if (!is_worn && !(is_better && is_calm)) {
     if (now.m_time < m_next_watchers) {
       return;
     }
-    const bool is_calm = now.m_time > m_next_watchers + kWatchersCalm;
     m_watchers_backoff =
         is_calm ? kFirstWatchersBackoff
                 : std::min(2 * m_watchers_backoff, kMostWatchersBackoff);
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <map>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -61,6 +62,25 @@
     });
   }
 
+  /// Tells whether each member has two watchers in its region and one outside.
+  bool HasSpreadWatchers(std::size_t asked) {
+    const auto status = cluster.Status(asked);
+    std::map<std::string, std::string> regions;
+    for (const auto& member : status["members"]) {
+      regions[member["id"]] = member["region"];
+    }
+    for (const auto& member : status["members"]) {
+      std::size_t near = 0;
+      for (const auto& watcher : member["watchers"]) {
+        near += regions[watcher] == member["region"] ? 1 : 0;
+      }
+      if (near != 2 || member["watchers"].size() != 3) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   std::size_t Members(std::size_t asked) {
     const auto status = cluster.Status(asked);
     return status.is_object() ? status["members"].size() : 0;
@@ -157,6 +177,7 @@
 }
 
 TEST(Ownership, EachSideOfARegionSplitServesItsOwnKeys) {
+  CHECK(cluster.WaitUntil([&] { return HasSpreadWatchers(0); }));
   const std::vector<std::size_t> near = {0, 1, 4, 5};
   const std::vector<std::size_t> far = {2, 3, 6, 7};
   StartLoad({0, 2});
