Free retired connections with their client

Cause: the planned-stop test under AddressSanitizer found 1,340 bytes leaked: a connection given up in the last turn of the loop was not freed. After: the whole-path, operators and planned-stop tests are clean under it.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -87,6 +87,7 @@
     for (evhttp_connection* connection : m_idle) {
       evhttp_connection_free(connection);
     }
+    Sweep();
   }
 
   HttpCallId Send(const wire::HttpRequest& request,
