Read the store only where no neighbour hands records on

Ruled out: appends (a tenth), the operators' topic. Change: a member that is no reader waits 600 ms for its neighbour to hand its append back, and reads otherwise every 15 s; a pause follows what the core asks for as things are now.

--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -217,9 +217,12 @@
   [[nodiscard]] bool HasLease(Time now) const noexcept {
     return m_lease.IsValid(now);
   }
-  /// \brief Time to wait before the log is read again: one member of each
+  /// \brief Time to wait before the store is read again: one member of each
   /// failure domain reads all the time and hands on to its neighbours.
   [[nodiscard]] Duration ReadPause() const;
+  /// \brief The same for the log of records, which brings back what this
+  /// member has appended.
+  [[nodiscard]] Duration LogReadPause() const;
   /// \brief Tells whether callers may be sent to this process.
   [[nodiscard]] bool IsReady() const noexcept {
     return m_caught_up && !m_stopping_since &&
--- a/core/src/node_target.cc
+++ b/core/src/node_target.cc
@@ -14,9 +14,12 @@
 /// Share of a bound after which work stops, so that the last request arrives
 /// within the bound.
 constexpr double kBoundShare = 0.6;
-/// Pause of those that are handed the records by a neighbour; a neighbour that
-/// is lost goes unnoticed no longer than this.
-constexpr Duration kReadPause = std::chrono::seconds(3);
+/// Pause of those that are handed the records by a neighbour. Watchers tell a
+/// member that is behind within a heartbeat, so this is a last resort.
+constexpr Duration kReadPause = std::chrono::seconds(15);
+/// Time in which a neighbour usually hands an own append back; twice the time
+/// that the reader gathers records for, an append and two hops.
+constexpr Duration kReadBackPause = std::chrono::milliseconds(600);
 constexpr Duration kNewsQueryPeriod = std::chrono::milliseconds(300);
 /// Share of one sample in the smoothed use; samples are 50 ms apart.
 constexpr double kUseWeight = 0.05;
@@ -174,10 +177,15 @@
          first->first == m_settings.m_self.m_id;
 }
 
-// Whoever has appended waits to read it back.
 Duration Node::ReadPause() const {
-  return IsReader() || !m_appends.empty() || !m_caught_up ? Duration::zero()
-                                                          : kReadPause;
+  return IsReader() || !m_caught_up ? Duration::zero() : kReadPause;
+}
+
+// Whoever has appended waits to see it, but leaves the first chance to the
+// reader of its domain: each read of the store is paid for.
+Duration Node::LogReadPause() const {
+  return m_appends.empty() ? ReadPause()
+                           : std::min(ReadPause(), kReadBackPause);
 }
 
 void Node::HandOnRecords(std::span<const LogEntry> entries) {
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -392,6 +392,23 @@
   CHECK(self.node().ReadPause() > Duration::zero());
 }
 
+// The price of calls: one append of any member made all that wait for an append
+// of their own read at once.
+TEST(RoutedNode, AMemberThatHasAppendedLeavesTheReadToItsNeighbour) {
+  RoutedNode self("orders", "d2");
+  self.Start();
+  self.Report();
+  self.Settle();
+  self.Record(JoinRecord{RoutedNode::Other(6, "orders"), {}});
+  const Duration calm = self.node().LogReadPause();
+  CHECK(calm > std::chrono::seconds(1));
+  self.node().OnTargetLeave(self.At(), "t1000", [](Action&&) {});
+  CHECK(self.node().pending_appends() > 0);
+  CHECK(self.node().LogReadPause() > Duration::zero());
+  CHECK(self.node().LogReadPause() < calm);
+  CHECK(self.node().ReadPause() == calm);
+}
+
 // Found with real processes: a watcher that had not read its vote back appended
 // another every 50 ms, and each put its next read off.
 TEST(RoutedNode, AWatcherVotesOnceHoweverLateItReadsItsVote) {
--- a/runtime/include/figlug/runtime/log_follower.h
+++ b/runtime/include/figlug/runtime/log_follower.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "figlug/core/control_state.h"
+#include "figlug/runtime/adjustable_pause.h"
 #include "figlug/runtime/event_loop.h"
 #include "figlug/runtime/log_service.h"
 
@@ -44,7 +45,8 @@
   LogFollower(EventLoop& loop, Log& log, LogFollowerHandlers handlers)
       : m_log(log),
         m_handlers(std::move(handlers)),
-        m_retry(loop, [this] { Retry(); }) {}
+        m_retry(loop, [this] { Retry(); }),
+        m_pause(loop, m_handlers.m_pause, [this] { Read(); }) {}
 
   /// \brief Looks for the newest checkpoint, then follows.
   void Start() {
@@ -52,16 +54,6 @@
     Retry();
   }
 
-  /// \brief Ends a pause between two reads.
-  void Hurry() {
-    // Setting the timer again would put the read off, for ever if appends come
-    // closely.
-    if (m_has_state && !m_is_reading && !m_is_hurrying) {
-      m_is_hurrying = true;
-      m_retry.Set(kGatherTime);
-    }
-  }
-
  private:
   static constexpr core::Duration kWait = std::chrono::seconds(3);
   static constexpr core::Duration kFirstRetry = std::chrono::milliseconds(200);
@@ -109,8 +101,6 @@
   }
 
   void Read() {
-    m_is_reading = true;
-    m_is_hurrying = false;
     const core::Offset from = m_has_state ? m_handlers.m_next() : m_scan_from;
     const bool waits = m_has_state && m_handlers.m_pause() == core::Duration{};
     const core::Duration wait = waits ? kWait : core::Duration::zero();
@@ -120,7 +110,6 @@
   }
 
   void OnPage(core::Offset from, std::optional<wire::LogPage>&& page) {
-    m_is_reading = false;
     m_handlers.m_on_health(page.has_value());
     if (!page) {
       RetryLater();
@@ -153,13 +142,10 @@
     if constexpr (CheckpointStore<Log>) {
       const core::Duration gather =
           entries.empty() ? core::Duration::zero() : kGatherTime;
-      const core::Duration pause = std::max(gather, m_handlers.m_pause());
-      if (pause > core::Duration::zero()) {
-        m_retry.Set(pause);
-        return;
-      }
+      m_pause.Begin(gather);
+    } else {
+      Read();
     }
-    Read();
   }
 
   // Keeps the newest checkpoint and what follows its base.
@@ -210,10 +196,9 @@
   Log& m_log;
   LogFollowerHandlers m_handlers;
   Timer m_retry;
+  AdjustablePause m_pause;
   core::Duration m_backoff = kFirstRetry;
   bool m_has_state = false;
-  bool m_is_reading = false;
-  bool m_is_hurrying = false;
   core::Offset m_scan_from = 0;
   std::vector<core::LogEntry> m_scanned;
 };
