Queue at a gate only as long as answers can be in time

Cause: a gate queued work for 0.6 of the caller's time, so that under load all answers were late and a third of the orders were cut off by their route's timeout; what a gate refused was tried at every other gate (87,000 attempts crossed the link in 30 s); every ingress sent to the one target it took for idle; connections that rested were reset by their targets. Ruled out: targets that slow down with their slots in use (runs take the same with 1 and 9 at once).

--- a/core/include/figlug/core/action.h
+++ b/core/include/figlug/core/action.h
@@ -48,6 +48,10 @@
   std::uint32_t m_priority = 0;
   /// Longest wait at the gate; zero for the profile's.
   Duration m_patience{};
+  /// Time within which an answer is worth most; zero where none is known.
+  Duration m_target_latency{};
+  /// What is left of it; below zero when it has passed.
+  Duration m_target_latency_left{};
 };
 
 /// \brief What a gate tells of its load with each reply.
--- a/core/include/figlug/core/balancer.h
+++ b/core/include/figlug/core/balancer.h
@@ -66,15 +66,27 @@
                                  Random& random);
 };
 
+/// \brief The least expected wait of a few random targets, where many ingresses
+/// choose by the same late word on the targets' load.
+struct SampledWait {
+  [[nodiscard]] std::size_t Pick(std::span<const Choice> choices,
+                                 Random& random);
+};
+
 static_assert(Balancer<LeastWait>);
+static_assert(Balancer<SampledWait>);
 static_assert(Balancer<TwoChoices>);
 static_assert(Balancer<RandomChoice>);
 static_assert(Balancer<RoundRobin>);
 static_assert(Balancer<LeastOutstanding>);
 
 /// \brief The balancer that settings name.
-using AnyBalancer = std::
-    variant<TwoChoices, RandomChoice, RoundRobin, LeastOutstanding, LeastWait>;
+using AnyBalancer = std::variant<TwoChoices,
+                                 RandomChoice,
+                                 RoundRobin,
+                                 LeastOutstanding,
+                                 LeastWait,
+                                 SampledWait>;
 
 /// \brief Picks by whichever balancer is set.
 /// \param choices At least one.
--- a/core/include/figlug/core/gate.h
+++ b/core/include/figlug/core/gate.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "figlug/core/action.h"
+#include "figlug/core/admission.h"
 #include "figlug/core/concurrency_limit.h"
 #include "figlug/core/ids.h"
 #include "figlug/core/outcome.h"
@@ -95,6 +96,8 @@
     bool m_running = false;
     std::uint64_t m_order = 0;
     Time m_deadline{};
+    /// What it may wait in all, and until when.
+    Duration m_patience{};
     Time m_queued_until{};
     Time m_dispatched_at{};
   };
@@ -121,9 +124,25 @@
                             const GateView& view) const;
   [[nodiscard]] std::uint32_t LimitOf(const GateView& view) const noexcept;
   [[nodiscard]] bool HasRoom(Time now, const GateView& view);
+  /// Work that is served before other work.
+  struct QueueAhead {
+    std::uint32_t m_count = 0;
+    /// Expected runs of all of it.
+    Duration m_run{};
+  };
+  void Add(const Work& work, QueueAhead& ahead) const;
+  [[nodiscard]] Duration PatienceOf(const AttemptHead& head,
+                                    const GateView& view) const;
   [[nodiscard]] Duration ExpectedWait(Time now,
                                       const Place& place,
                                       const GateView& view) const;
+  [[nodiscard]] Duration ExpectedWait(Time now,
+                                      const QueueAhead& ahead,
+                                      const GateView& view) const;
+  [[nodiscard]] bool IsHopeless(Time now,
+                                const Work& work,
+                                const QueueAhead& ahead,
+                                const GateView& view) const;
   void Dispatch(Time now,
                 WorkId id,
                 Work& work,
@@ -131,15 +150,13 @@
                 Actions& out);
   void Refuse(WorkId id, Reason reason, const GateView& view, Actions& out);
   void Pump(Time now, const GateView& view, Actions& out);
-  void ObserveService(Duration taken) noexcept;
   static void Linger(const Work& work, std::map<SliceIndex, Time>& slices);
 
   std::unordered_map<WorkId, Work> m_work;
   std::set<Place> m_queue;
   std::uint64_t m_last_order = 0;
   std::uint32_t m_running = 0;
-  /// Smoothed time from dispatch to answer, microseconds; 0 when unknown.
-  double m_service_us = 0;
+  RunTimes m_run_times;
   SliceWork m_slice_work;
   Pacer m_cold_pacer;
   /// When the pacer lets the next request pass; kNever when none waits for it.
--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -139,6 +139,8 @@
     std::uint32_t m_attempts = 0;
     /// Attempts that have reached a target, or may have.
     std::uint32_t m_arrivals = 0;
+    /// Gates that have turned the call away for want of room.
+    std::uint32_t m_full_gates = 0;
     /// A target's own failure, for want of a better answer.
     std::optional<AttemptId> m_kept_answer;
     bool m_may_have_run = false;
@@ -204,6 +206,7 @@
   [[nodiscard]] const std::string& ChooseBackend(const Route& route);
   [[nodiscard]] const Member* ChooseHolder(const Call& call,
                                            const IngressView& view) const;
+  [[nodiscard]] AttemptHead MakeHead(Time now, const Call& call) const;
   [[nodiscard]] Duration PatienceOf(Time now, const Call& call) const;
   [[nodiscard]] Duration RetryAdvice(Reason reason);
   void Hedge(Time now,
--- a/core/src/balancer.cc
+++ b/core/src/balancer.cc
@@ -1,10 +1,16 @@
 #include "figlug/core/balancer.h"
 
 #include <algorithm>
+#include <numeric>
+#include <vector>
 
 namespace figlug::core {
 namespace {
 
+/// Two samples already avoid the longest queues; a third finds fast targets
+/// among slow ones.
+constexpr std::size_t kSamples = 3;
+
 std::size_t RandomIndex(std::span<const Choice> choices, Random& random) {
   return random() % choices.size();
 }
@@ -60,6 +66,20 @@
   return LeastBy(choices, random, &Choice::m_wait);
 }
 
+// With all targets to choose from, every ingress would send to the one that was
+// idle last, until its load is told again.
+std::size_t SampledWait::Pick(std::span<const Choice> choices, Random& random) {
+  std::vector<std::size_t> order(choices.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  const std::size_t samples = std::min(kSamples, choices.size());
+  for (std::size_t i = 0; i < samples; ++i) {
+    std::swap(order[i], order[i + random() % (order.size() - i)]);
+  }
+  order.resize(samples);
+  return *std::ranges::min_element(
+      order, {}, [&](std::size_t index) { return choices[index].m_wait; });
+}
+
 std::size_t Pick(AnyBalancer& balancer,
                  std::span<const Choice> choices,
                  Random& random) {
--- a/core/src/gate.cc
+++ b/core/src/gate.cc
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
-/// Share of a new observation in the smoothed service time.
-constexpr double kServiceWeight = 0.1;
+/// Expected waits are rough, so work that waits is given up early only when
+/// its wait has grown by this share of what it may wait in all.
+constexpr double kWaitSlack = 0.25;
 
 }  // namespace
 
@@ -25,10 +26,8 @@
   work.m_head = head;
   work.m_order = ++m_last_order;
   work.m_deadline = now + head.m_time_left;
-  const Duration patience = head.m_patience > Duration::zero()
-                                ? head.m_patience
-                                : view.m_profile.m_queue_wait;
-  work.m_queued_until = now + std::min(head.m_time_left, patience);
+  work.m_patience = PatienceOf(head, view);
+  work.m_queued_until = now + work.m_patience;
   if (const Reason reason = Check(now, work, view); reason != Reason::kNone) {
     Refuse(id, reason, view, out);
     return;
@@ -49,6 +48,17 @@
   m_queue.insert(PlaceOf(id, work));
 }
 
+Duration Gate::PatienceOf(const AttemptHead& head, const GateView& view) const {
+  Duration patience = head.m_patience > Duration::zero()
+                          ? head.m_patience
+                          : view.m_profile.m_queue_wait;
+  if (head.m_target_latency > Duration::zero()) {
+    patience =
+        std::min(patience, UsefulWait(head, m_run_times.Of(ClassOf(head))));
+  }
+  return std::min(head.m_time_left, patience);
+}
+
 std::uint32_t Gate::LimitOf(const GateView& view) const noexcept {
   const std::uint32_t slots = view.m_capacity.m_slots;
   return slots > 0 ? slots : m_limit.value();
@@ -76,22 +86,35 @@
 Duration Gate::ExpectedWait(Time now,
                             const Place& place,
                             const GateView& view) const {
-  const auto ahead = static_cast<double>(
-      std::distance(m_queue.begin(), m_queue.lower_bound(place)));
-  const double slots = std::max(1U, LimitOf(view));
-  double wait_us = (ahead + 1) * m_service_us / slots;
+  QueueAhead ahead;
+  for (auto it = m_queue.begin(); it != m_queue.end() && *it < place; ++it) {
+    Add(m_work.at(it->m_work), ahead);
+  }
+  return ExpectedWait(now, ahead, view);
+}
+
+void Gate::Add(const Work& work, QueueAhead& ahead) const {
+  ++ahead.m_count;
+  ahead.m_run += m_run_times.Of(ClassOf(work.m_head));
+}
+
+Duration Gate::ExpectedWait(Time now,
+                            const QueueAhead& ahead,
+                            const GateView& view) const {
+  const Duration run = ahead.m_run + m_run_times.OfAll();
+  Duration wait = run / std::max(1U, LimitOf(view));
   const TargetCapacity& capacity = view.m_capacity;
   if (capacity.m_cold_rate > 0 && now < capacity.m_cold_until) {
-    wait_us =
-        std::max(wait_us, ahead * kMicrosPerSecond / capacity.m_cold_rate);
+    const double paced_us = static_cast<double>(ahead.m_count) *
+                            kMicrosPerSecond / capacity.m_cold_rate;
+    wait = std::max(wait, Duration(static_cast<Duration::rep>(paced_us)));
   }
-  return Duration(static_cast<Duration::rep>(wait_us));
+  return wait;
 }
 
 GateLoad Gate::Load(const GateView& view) const noexcept {
   return {m_running, static_cast<std::uint32_t>(m_queue.size()),
-          view.m_capacity.m_slots,
-          Duration(static_cast<Duration::rep>(m_service_us))};
+          view.m_capacity.m_slots, m_run_times.OfAll()};
 }
 
 Reason Gate::Check(Time now, const Work& work, const GateView& view) const {
@@ -186,7 +209,7 @@
   switch (result.m_outcome) {
     case Outcome::kAnswered:
       m_limit.OnSuccess(now, now - work.m_dispatched_at, m_running);
-      ObserveService(now - work.m_dispatched_at);
+      m_run_times.Observe(ClassOf(work.m_head), now - work.m_dispatched_at);
       m_slice_work.Add(now, work.m_head.m_slice, now - work.m_dispatched_at);
       break;
     case Outcome::kNotRun:
@@ -216,13 +239,6 @@
   Pump(now, view, out);
 }
 
-void Gate::ObserveService(Duration taken) noexcept {
-  const auto us = static_cast<double>(taken.count());
-  m_service_us = m_service_us == 0
-                     ? us
-                     : m_service_us + kServiceWeight * (us - m_service_us);
-}
-
 void Gate::Cancel(Time now, WorkId id, const GateView& view, Actions& out) {
   const auto it = m_work.find(id);
   if (it == m_work.end()) {
@@ -262,27 +278,45 @@
   Pump(now, view, out);
 }
 
-// Work that waits for its slice lets later work pass.
+// Work that waits for its slice lets later work pass. Work that more urgent
+// work has pushed back too far is refused now, while its caller has time left.
 void Gate::Pump(Time now, const GateView& view, Actions& out) {
   bool is_full = false;
+  QueueAhead ahead;
   for (auto it = m_queue.begin(); it != m_queue.end();) {
     const WorkId id = it->m_work;
     Work& work = m_work.at(id);
     const Reason reason = Check(now, work, view);
-    if (reason != Reason::kNone || now >= work.m_queued_until) {
+    if (reason != Reason::kNone || now >= work.m_queued_until ||
+        (is_full && IsHopeless(now, work, ahead, view))) {
       it = m_queue.erase(it);
       Refuse(id, reason != Reason::kNone ? reason : Reason::kOverloaded, view,
              out);
-    } else if (is_full || IsHeld(now, work, view)) {
-      ++it;
-    } else if (HasRoom(now, view)) {
-      it = m_queue.erase(it);
-      Dispatch(now, id, work, view, out);
-    } else {
+      continue;
+    }
+    if (!is_full && !IsHeld(now, work, view)) {
+      if (HasRoom(now, view)) {
+        it = m_queue.erase(it);
+        Dispatch(now, id, work, view, out);
+        continue;
+      }
       is_full = true;
-      ++it;
     }
+    Add(work, ahead);
+    ++it;
+  }
+}
+
+bool Gate::IsHopeless(Time now,
+                      const Work& work,
+                      const QueueAhead& ahead,
+                      const GateView& view) const {
+  if (work.m_head.m_target_latency == Duration::zero()) {
+    return false;
   }
+  const auto slack =
+      std::chrono::duration_cast<Duration>(kWaitSlack * work.m_patience);
+  return now + ExpectedWait(now, ahead, view) > work.m_queued_until + slack;
 }
 
 bool Gate::IsBusy(Time now, SliceIndex slice) const {
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -19,13 +19,19 @@
 constexpr double kRegionHopUs = 16'000;
 /// Share of the target latency that the other region must save, as its bytes
 /// are paid for.
-constexpr double kFarGainShare = 1;
+constexpr double kFarGainShare = 0.2;
+/// Share of the target latency after which an answer of the own region is
+/// likely to be late.
+constexpr double kLateShare = 0.8;
 /// The same where no target latency is known, microseconds.
 constexpr double kFarGainUs = 300'000;
 /// Share of one attempt in the smoothed share of failures.
 constexpr double kFailureWeight = 0.1;
 /// Share of the time left that a request may wait at a gate.
 constexpr double kPatienceShare = 0.6;
+/// Gates that may turn one call away for want of room. Where that many are full
+/// a search through all would only load them and the links further.
+constexpr std::uint32_t kMostFullGates = 3;
 /// Advice to callers that were refused for want of room.
 constexpr Duration kRoomRetryAfter = std::chrono::milliseconds(300);
 /// Advice to callers whose keys or configuration are on their way.
@@ -62,20 +68,22 @@
   return std::ranges::min_element(choices, {}, &Choice::m_wait)->m_wait;
 }
 
-double LeastFarGainUs(const std::shared_ptr<const Route>& route) {
-  return route == nullptr
-             ? kFarGainUs
-             : kFarGainShare *
-                   static_cast<double>(route->m_target_latency.count());
-}
-
+// With a target latency, the other region is used when the own one would answer
+// late; otherwise when it saves much time.
 bool IsFarBetter(const std::vector<Choice>& near,
                  const std::vector<Choice>& far,
-                 double least_gain_us) {
+                 const std::shared_ptr<const Route>& route) {
   if (near.empty() || far.empty()) {
     return near.empty();
   }
-  return LeastWaitOf(near) > LeastWaitOf(far) + kRegionHopUs + least_gain_us;
+  const double near_us = LeastWaitOf(near);
+  const double gain_us = near_us - LeastWaitOf(far) - kRegionHopUs;
+  if (route == nullptr) {
+    return gain_us > kFarGainUs;
+  }
+  const auto target_us = static_cast<double>(route->m_target_latency.count());
+  return near_us > kLateShare * target_us &&
+         gain_us > kFarGainShare * target_us;
 }
 
 bool IsDomainOut(const IngressView& view, const MemberInfo& info) {
@@ -268,7 +276,7 @@
     (is_near ? near : far)
         .push_back({id, target.m_outstanding, target.m_latency, wait});
   }
-  const bool is_far = IsFarBetter(near, far, LeastFarGainUs(call.m_route));
+  const bool is_far = IsFarBetter(near, far, call.m_route);
   const std::vector<Choice>& choices = is_far ? far : near;
   if (choices.empty()) {
     return nullptr;
@@ -296,24 +304,28 @@
   ++call.m_attempts;
   call.m_open.push_back(attempt);
   call.m_tried.push_back(to);
-  out.emplace_back(SendAttempt{
-      id,
-      attempt,
-      to,
-      member.m_info.m_peer,
-      {call.m_head.m_service, call.m_slice, call.m_request_id,
-       call.m_head.m_caller_id.has_value(), call.m_deadline - now,
-       call.m_route == nullptr ? 0 : call.m_route->m_priority,
-       PatienceOf(now, call)},
-      basis,
-  });
+  out.emplace_back(SendAttempt{id, attempt, to, member.m_info.m_peer,
+                               MakeHead(now, call), basis});
+}
+
+AttemptHead Ingress::MakeHead(Time now, const Call& call) const {
+  AttemptHead head{.m_service = call.m_head.m_service,
+                   .m_slice = call.m_slice,
+                   .m_request_id = call.m_request_id,
+                   .m_has_caller_id = call.m_head.m_caller_id.has_value(),
+                   .m_time_left = call.m_deadline - now};
+  if (call.m_route != nullptr) {
+    head.m_priority = call.m_route->m_priority;
+    head.m_patience = PatienceOf(now, call);
+    head.m_target_latency = call.m_route->m_target_latency;
+    head.m_target_latency_left =
+        call.m_started + call.m_route->m_target_latency - now;
+  }
+  return head;
 }
 
 // A request that waits too long would be answered too late to be of use.
 Duration Ingress::PatienceOf(Time now, const Call& call) const {
-  if (call.m_route == nullptr) {
-    return Duration::zero();
-  }
   const auto left = static_cast<double>((call.m_deadline - now).count());
   return std::max(Duration(1),
                   Duration(static_cast<Duration::rep>(left * kPatienceShare)));
@@ -500,12 +512,14 @@
                              Actions& out) {
   const Profile& profile = call.m_route->m_profile;
   if (!IsFinal(reason) && now < call.m_deadline) {
+    call.m_full_gates += reason == Reason::kOverloaded ? 1 : 0;
+    const bool is_searching = call.m_full_gates < kMostFullGates;
     const bool is_arrival = reason == Reason::kTargetShed;
     call.m_arrivals += is_arrival ? 1 : 0;
     const bool may_arrive =
         !is_arrival || (call.m_arrivals < profile.m_max_attempts &&
                         m_services[call.m_head.m_service].m_retries.Withdraw());
-    if (may_arrive && reason != Reason::kNoTarget &&
+    if (may_arrive && is_searching && reason != Reason::kNoTarget &&
         Choose(now, call, view) != nullptr) {
       TryNext(now, id, call, view, out);
       return;
--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -96,16 +96,21 @@
                  SliceIndex slice = 0,
                  std::uint32_t priority = 0,
                  Duration patience = std::chrono::milliseconds(500)) {
+    return Attempt({.m_service = std::move(service),
+                    .m_slice = slice,
+                    .m_time_left = std::chrono::seconds(1),
+                    .m_priority = priority,
+                    .m_patience = patience});
+  }
+  WorkId Attempt(const AttemptHead& head) {
     const WorkId work{++m_last_work};
-    m_node.OnAttempt(At(), work,
-                     {.m_service = std::move(service),
-                      .m_slice = slice,
-                      .m_time_left = std::chrono::seconds(1),
-                      .m_priority = priority,
-                      .m_patience = patience},
-                     Sink());
+    m_node.OnAttempt(At(), work, head, Sink());
     return work;
   }
+  /// \brief A gate's word on an attempt of this node.
+  void EndAttempt(AttemptId attempt, Outcome outcome, Reason reason) {
+    m_node.OnAttemptEnd(At(), attempt, outcome, reason, Sink());
+  }
   void Answer(WorkId work) { m_node.OnTargetResult(At(), work, {}, Sink()); }
   CallId Call(std::string path, std::uint32_t key = 0) {
     const CallId call{++m_last_call};
--- a/runtime/include/figlug/runtime/http_client.h
+++ b/runtime/include/figlug/runtime/http_client.h
@@ -46,10 +46,13 @@
 
   /// \param connections Most connections at once; more requests wait.
   /// \param body_limit Largest body of an answer, bytes.
+  /// \param most_idle Rest after which a connection is not used again, whatever
+  /// the server says.
   HttpClient(EventLoop& loop,
              core::Endpoint to,
              std::size_t connections,
-             std::size_t body_limit);
+             std::size_t body_limit,
+             core::Duration most_idle = core::Duration::max());
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -104,7 +104,8 @@
       m_target(loop,
                settings.m_target,
                settings.m_target_connections,
-               settings.m_body_limit_kib * impl::kBytesPerKib),
+               settings.m_body_limit_kib * impl::kBytesPerKib,
+               settings.m_target_most_idle),
       m_peers(loop,
               {[this](PeerConnectionId from, wire::Frame&& frame) {
                  OnFrame(from, std::move(frame));
@@ -172,7 +173,7 @@
           [this](core::Offset first) {
             m_node.OnLogBounds(ReadClocks(), first);
           },
-      .m_pause = [this] { return m_node.ReadPause(); },
+      .m_pause = [this] { return m_node.LogReadPause(); },
       .m_next = [this] { return m_node.state().next(); },
   };
 }
@@ -496,7 +497,6 @@
 template <LogService Log, Dialect Speech>
 void Daemon<Log, Speech>::Carry(core::AppendRecord&& action) {
   m_log.Append(action.m_id, action.m_record);
-  m_follower.Hurry();
 }
 
 template <LogService Log, Dialect Speech>
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -93,11 +93,13 @@
   Impl(EventLoop& loop,
        core::Endpoint to,
        std::size_t connections,
-       std::size_t body_limit)
+       std::size_t body_limit,
+       core::Duration most_idle)
       : m_loop(loop),
         m_to(std::move(to)),
         m_most_connections(connections),
-        m_body_limit(body_limit) {}
+        m_body_limit(body_limit),
+        m_most_idle(most_idle) {}
 
   ~Impl() {
     m_is_closing = true;
@@ -255,7 +257,9 @@
         return;
       }
       impl->m_idle.push_back(
-          {call->m_connection, ReadClocks().m_time + IdleTimeOf(response)});
+          {call->m_connection,
+           ReadClocks().m_time +
+               std::min(impl->m_most_idle, IdleTimeOf(response))});
       impl->Finish(call->m_id, std::move(response));
       return;
     }
@@ -300,6 +304,7 @@
   core::Endpoint m_to;
   std::size_t m_most_connections;
   std::size_t m_body_limit;
+  core::Duration m_most_idle;
   std::size_t m_open = 0;
   bool m_is_closing = false;
   std::uint64_t m_last_id = 0;
@@ -313,11 +318,13 @@
 HttpClient::HttpClient(EventLoop& loop,
                        core::Endpoint to,
                        std::size_t connections,
-                       std::size_t body_limit)
+                       std::size_t body_limit,
+                       core::Duration most_idle)
     : m_impl(std::make_unique<Impl>(loop,
                                     std::move(to),
                                     connections,
-                                    body_limit)) {}
+                                    body_limit,
+                                    most_idle)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/settings/src/daemon_settings.cc
+++ b/settings/src/daemon_settings.cc
@@ -31,6 +31,8 @@
   reader.Require("target", "address")
       .Address("target", "address", out.m_target);
   reader.Count("target", "connections", {1, 10'000}, out.m_target_connections);
+  reader.Milliseconds("target", "most_idle_ms", {1, 600'000},
+                      out.m_target_most_idle);
 }
 
 void ReadLease(SectionReader& reader, core::LeaseTiming& timing) {
@@ -53,12 +55,13 @@
 }
 
 void ReadPolicy(SectionReader& reader, core::AnyBalancer& out) {
-  static const std::array<std::pair<std::string_view, core::AnyBalancer>, 5>
+  static const std::array<std::pair<std::string_view, core::AnyBalancer>, 6>
       balancers = {{{"two-choices", core::TwoChoices{}},
                     {"random", core::RandomChoice{}},
                     {"round-robin", core::RoundRobin{}},
                     {"least-outstanding", core::LeastOutstanding{}},
-                    {"least-wait", core::LeastWait{}}}};
+                    {"least-wait", core::LeastWait{}},
+                    {"sampled-wait", core::SampledWait{}}}};
   std::string name = "two-choices";
   reader.Text("policy", "balancer", name);
   for (const auto& [known, balancer] : balancers) {
@@ -70,7 +73,8 @@
   reader.Fail("policy", "balancer",
               "'" + name +
                   "' is not accepted; two-choices, random, round-robin, "
-                  "least-outstanding or least-wait is");
+                  "least-outstanding, least-wait or "
+                  "sampled-wait is");
 }
 
 void ReadLog(SectionReader& reader, DaemonSettings& out) {
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -46,6 +46,8 @@
   timeLeftUs @4 :Int64;
   priority @5 :UInt32;
   patienceUs @6 :Int64;
+  targetLatencyUs @7 :Int64;
+  targetLatencyLeftUs @8 :Int64;
 }
 
 struct GateLoad {
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -137,6 +137,8 @@
     head.setTimeLeftUs(frame.m_head.m_time_left.count());
     head.setPriority(frame.m_head.m_priority);
     head.setPatienceUs(frame.m_head.m_patience.count());
+    head.setTargetLatencyUs(frame.m_head.m_target_latency.count());
+    head.setTargetLatencyLeftUs(frame.m_head.m_target_latency_left.count());
     out.setMethod(frame.m_request.m_method);
     out.setPath(frame.m_request.m_path);
     Write(out.initHeaders(Size(frame.m_request.m_headers)),
@@ -175,6 +177,8 @@
   frame.m_head.m_time_left = Duration(head.getTimeLeftUs());
   frame.m_head.m_priority = head.getPriority();
   frame.m_head.m_patience = Duration(head.getPatienceUs());
+  frame.m_head.m_target_latency = Duration(head.getTargetLatencyUs());
+  frame.m_head.m_target_latency_left = Duration(head.getTargetLatencyLeftUs());
   frame.m_request.m_method = Text(in.getMethod());
   frame.m_request.m_path = Text(in.getPath());
   frame.m_request.m_headers = Read(in.getHeaders());
