Save bytes on the link between regions

Change: a call ends at the first full gate of the other region; releases of held keys are asked for every 500 ms, as the holder tells by itself; frames and datagrams are packed.

--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -141,6 +141,8 @@
     std::uint32_t m_arrivals = 0;
     /// Gates that have turned the call away for want of room.
     std::uint32_t m_full_gates = 0;
+    /// Whether the last attempt went to the other region.
+    bool m_is_far = false;
     /// A target's own failure, for want of a better answer.
     std::optional<AttemptId> m_kept_answer;
     bool m_may_have_run = false;
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -32,6 +32,9 @@
 /// Gates that may turn one call away for want of room. Where that many are full
 /// a search through all would only load them and the links further.
 constexpr std::uint32_t kMostFullGates = 3;
+/// The same for calls that go to the other region, whose link is paid by
+/// volume.
+constexpr std::uint32_t kMostFullFarGates = 1;
 /// Advice to callers that were refused for want of room.
 constexpr Duration kRoomRetryAfter = std::chrono::milliseconds(300);
 /// Advice to callers whose keys or configuration are on their way.
@@ -302,6 +305,7 @@
   }
   ++target.m_outstanding;
   ++call.m_attempts;
+  call.m_is_far = member.m_info.m_region != view.m_self.m_region;
   call.m_open.push_back(attempt);
   call.m_tried.push_back(to);
   out.emplace_back(SendAttempt{id, attempt, to, member.m_info.m_peer,
@@ -513,7 +517,9 @@
   const Profile& profile = call.m_route->m_profile;
   if (!IsFinal(reason) && now < call.m_deadline) {
     call.m_full_gates += reason == Reason::kOverloaded ? 1 : 0;
-    const bool is_searching = call.m_full_gates < kMostFullGates;
+    const bool is_searching =
+        call.m_full_gates <
+        (call.m_is_far ? kMostFullFarGates : kMostFullGates);
     const bool is_arrival = reason == Reason::kTargetShed;
     call.m_arrivals += is_arrival ? 1 : 0;
     const bool may_arrive =
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -12,6 +12,9 @@
 constexpr std::uint32_t kWarmUpSteps = 3;
 constexpr Duration kReviewPeriod = std::chrono::milliseconds(50);
 constexpr Duration kReleaseQueryPeriod = std::chrono::milliseconds(100);
+/// The same where targets hold keys: they let go with their next report, a
+/// second or so later, and the former holder tells it at once.
+constexpr Duration kHoldQueryPeriod = std::chrono::milliseconds(500);
 constexpr Duration kReleaseRecordPeriod = std::chrono::seconds(2);
 constexpr Duration kRecordsQueryPeriod = std::chrono::milliseconds(300);
 constexpr Duration kFirstAppendBackoff = std::chrono::milliseconds(500);
@@ -171,9 +174,10 @@
 void Node::AfterFold(Now now) {
   m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
   m_next_review = now.m_time;
-  m_next_release_query = now.m_time;
   GiveReleases(now);
-  AskForReleases(now);
+  if (!m_settings.m_is_routed) {
+    AskForReleases(now);
+  }
 }
 
 // What this process knew as a member is void; its running work goes on, and
@@ -351,7 +355,6 @@
   ReviewWatchers(now);
   GiveReleases(now);
   if (now.m_time >= m_next_release_query) {
-    m_next_release_query = now.m_time + kReleaseQueryPeriod;
     AskForReleases(now);
   }
   ReviewTarget(now);
@@ -491,7 +494,10 @@
   }
 }
 
-void Node::AskForReleases(Now) {
+void Node::AskForReleases(Now now) {
+  m_next_release_query =
+      now.m_time +
+      (m_settings.m_is_routed ? kHoldQueryPeriod : kReleaseQueryPeriod);
   for (auto& [holder, slices] : m_ownership.MissingReleases()) {
     if (const Member* member = m_state.FindMember(holder)) {
       m_actions.emplace_back(SendPeerMessage{
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -307,7 +307,7 @@
 std::string EncodeFrameHead(const Frame& frame) {
   capnp::MallocMessageBuilder message;
   std::visit(FrameWriter{message.initRoot<schema::Frame>()}, frame);
-  const std::string head = impl::ToBytes(message);
+  const std::string head = impl::ToPackedBytes(message);
   std::string out;
   out.reserve(kFramePrefixBytes + head.size());
   AppendWord(out, static_cast<std::uint32_t>(head.size()));
@@ -328,7 +328,7 @@
 
 tl::expected<Frame, WireError> ParseFrame(std::string_view head,
                                           std::string_view body) {
-  return impl::ReadMessage<schema::Frame>(
+  return impl::ReadPackedMessage<schema::Frame>(
       head, [&](schema::Frame::Reader in) -> Frame { return Read(in, body); });
 }
 
@@ -355,11 +355,11 @@
     out.setIsPledge(ack.m_is_pledge);
     out.setOperatorsNext(ack.m_operators_next);
   }
-  return impl::ToBytes(message);
+  return impl::ToPackedBytes(message);
 }
 
 tl::expected<core::Datagram, WireError> ParseDatagram(std::string_view bytes) {
-  return impl::ReadMessage<schema::Datagram>(
+  return impl::ReadPackedMessage<schema::Datagram>(
       bytes, [](schema::Datagram::Reader root) -> core::Datagram {
         if (root.isHeartbeat()) {
           const auto in = root.getHeartbeat();
