--- a/tests/soak_main.cc
+++ b/tests/soak_main.cc
@@ -1,6 +1,7 @@
 // Runs the fault soak over a range of seeds; prints each broken promise with
 // the faults that led to it.
 
+#include <filesystem>
 #include <iostream>
 
 #include <tclap/CmdLine.h>
@@ -22,7 +23,12 @@
   if (found.empty()) {
     return true;
   }
-  std::cout << "output of the processes: " << soak.folder() << '\n';
+  const std::string kept = "soak-seed-" + std::to_string(options.m_seed);
+  std::error_code error;
+  std::filesystem::copy(soak.folder(), kept,
+                        std::filesystem::copy_options::recursive, error);
+  std::cout << "output of the processes: " << (error ? error.message() : kept)
+            << '\n';
   for (const auto& step : PlanSoak(options)) {
     std::cout << "  " << Describe(step) << '\n';
   }
