Read the settings again on SIGHUP; share the programs' command line

Cause: SIGHUP ended the process, as nothing handled it, and the users' platform sends it when the settings file has changed. The two programs repeated their command line. Change: RunProgram reads, checks and reads again; the log level is taken over, one line tells so.

--- a/runtime/include/figlug/runtime/log_prefix.h
+++ b/runtime/include/figlug/runtime/log_prefix.h
@@ -20,6 +20,9 @@
 /// object a line. A line that would block is lost and counted.
 /// \param level debug, info, warn or error.
 void SetUpLogging(std::string_view level);
+/// \brief Changes which lines are written from now on.
+/// \param level debug, info, warn or error.
+void SetLogLevel(std::string_view level);
 /// \brief Ends a process whose sockets are closed, without the log library's
 /// own end.
 [[noreturn]] void EndProcess(int exit_code);
--- /dev/null
+++ b/runtime/include/figlug/runtime/program.h
@@ -0,0 +1,96 @@
+#ifndef FIGLUG_RUNTIME_PROGRAM_H_
+#define FIGLUG_RUNTIME_PROGRAM_H_
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "figlug/runtime/log_prefix.h"
+
+namespace figlug::runtime {
+
+inline constexpr int kExitFailure = 1;
+inline constexpr int kExitBadSettings = 2;
+
+/// \brief What the command line of a program tells of itself.
+struct ProgramInfo {
+  std::string m_name;
+  std::string m_description;
+  /// Settings file when the command line names none; empty when it must.
+  std::string m_default_settings;
+};
+
+/// \brief Reads and checks a settings file.
+/// \param parse Takes the file's name and text.
+/// \returns The settings, or one line that says what is wrong.
+template <class Parse>
+auto LoadSettings(const std::string& file, Parse parse)
+    -> tl::expected<typename decltype(parse(file, file))::value_type,
+                    std::string> {
+  std::ifstream in(file);
+  if (!in) {
+    return tl::unexpected("cannot read " + file);
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  auto settings = parse(file, text.str());
+  if (!settings) {
+    return tl::unexpected(ToString(settings.error()));
+  }
+  return std::move(*settings);
+}
+
+/// \brief Takes over what may change while a process runs, which is the log
+/// level, and writes one line about it.
+/// \param level The level of settings that were read again, or what is wrong
+/// with them.
+void ApplyReload(const tl::expected<std::string, std::string>& level);
+
+/// \brief Runs a program whose settings stand in one file.
+/// \param run Takes the settings, and a function that reads them again.
+/// \returns Exit code, where `run` was not reached.
+template <class Parse, class Run>
+int RunProgram(const ProgramInfo& info,
+               int argc,
+               char** argv,
+               Parse parse,
+               Run run) {
+  try {
+    TCLAP::CmdLine command(info.m_description, ' ', "0.1");
+    command.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> file("s", "settings", "INI file of settings",
+                                      info.m_default_settings.empty(),
+                                      info.m_default_settings, "FILE", command);
+    TCLAP::SwitchArg check("c", "check-settings",
+                           "Check the settings and exit with 0 or 2", command);
+    command.parse(argc, argv);
+    const std::string path = file.getValue();
+    const auto settings = LoadSettings(path, parse);
+    if (!settings) {
+      std::cerr << info.m_name << ": " << settings.error() << '\n';
+      return kExitBadSettings;
+    }
+    if (check.getValue()) {
+      std::cout << "settings are valid\n";
+      return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    EndProcess(run(*settings, [&] { return LoadSettings(path, parse); }));
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << info.m_name << ": " << error.argId() << ": " << error.error()
+              << '\n';
+    return kExitBadSettings;
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  }
+}
+
+}  // namespace figlug::runtime
+
+#endif  // FIGLUG_RUNTIME_PROGRAM_H_
--- a/runtime/src/log_prefix.cc
+++ b/runtime/src/log_prefix.cc
@@ -120,7 +120,11 @@
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.addAppender(log4cplus::SharedAppenderPtr(new StandardOutputAppender()));
-  root.setLogLevel(ToLevel(level));
+  SetLogLevel(level);
+}
+
+void SetLogLevel(std::string_view level) {
+  log4cplus::Logger::getRoot().setLogLevel(ToLevel(level));
 }
 
 std::uint64_t LostLogLines() noexcept {
