--- a/core/include/figlug/core/ownership.h
+++ b/core/include/figlug/core/ownership.h
@@ -77,9 +77,9 @@
   [[nodiscard]] bool IsPrior(const Slice& slice) const;
   [[nodiscard]] bool HasLetGo(SliceIndex slice, const PriorHolder& prior) const;
   void CoverVanishedPriors(WallTime wall, SliceIndex index, const Slice& next);
-  void Sort(SliceIndex index, const Slice& next);
+  void Classify(SliceIndex index, const Slice& next);
   /// \brief What is known of a slice; an unowned one past the last.
-  [[nodiscard]] const Local& Find(SliceIndex slice) const;
+  [[nodiscard]] const Local& LocalOf(SliceIndex slice) const;
 
   MemberId m_self;
   std::vector<Local> m_local;
--- a/core/src/assignment.cc
+++ b/core/src/assignment.cc
@@ -10,7 +10,7 @@
 /// Ranges of slices that a member is given at first; a third of the rows that
 /// an answer to a target has room for, so that busy slices can still be cut
 /// out.
-constexpr std::size_t kMostRuns = 40;
+constexpr std::size_t kFirstRuns = 40;
 
 struct Share {
   MemberId m_member = kNoMember;
@@ -64,7 +64,7 @@
                 Room& room,
                 std::vector<MemberId>& owners) {
   const std::size_t run =
-      std::max<std::size_t>(1, owners.size() / (shares.size() * kMostRuns));
+      std::max<std::size_t>(1, owners.size() / (shares.size() * kFirstRuns));
   std::size_t taker = 0;
   std::size_t given = 0;
   for (MemberId& owner : owners) {
--- a/core/src/ownership.cc
+++ b/core/src/ownership.cc
@@ -22,7 +22,7 @@
       local.m_loss_wall = wall;
       local.m_ready_at = now + takeover_wait;
     }
-    Sort(i, next);
+    Classify(i, next);
     local.m_slice = next;
     if (next.m_owner != m_self) {
       m_released.erase(i);
@@ -34,7 +34,7 @@
 }
 
 // Few slices change hands at a time, so those are kept apart from the rest.
-void Ownership::Sort(SliceIndex index, const Slice& next) {
+void Ownership::Classify(SliceIndex index, const Slice& next) {
   m_owned -= IsOwn(m_local[index].m_slice) ? 1 : 0;
   m_owned += IsOwn(next) ? 1 : 0;
   m_contested.erase(index);
@@ -50,7 +50,7 @@
   return m_self != kNoMember && slice.m_owner == m_self;
 }
 
-const Ownership::Local& Ownership::Find(SliceIndex slice) const {
+const Ownership::Local& Ownership::LocalOf(SliceIndex slice) const {
   static const Local unknown;
   return slice < m_local.size() ? m_local[slice] : unknown;
 }
@@ -76,7 +76,7 @@
 }
 
 SliceStatus Ownership::StatusOf(Time now, SliceIndex slice) const {
-  const Local& local = Find(slice);
+  const Local& local = LocalOf(slice);
   if (!IsOwn(local.m_slice)) {
     return SliceStatus::kNotOwner;
   }
@@ -106,7 +106,7 @@
 }
 
 Offset Ownership::EpochOf(SliceIndex slice) const {
-  return Find(slice).m_slice.m_epoch;
+  return LocalOf(slice).m_slice.m_epoch;
 }
 
 // A word given before the slice was taken away says nothing about it: the
@@ -151,7 +151,7 @@
 }
 
 ReleasedSlice Ownership::MakeRelease(SliceIndex slice) const {
-  return {slice, Find(slice).m_covered_loss, m_ids.Find(slice)};
+  return {slice, LocalOf(slice).m_covered_loss, m_ids.Find(slice)};
 }
 
 std::map<MemberId, std::vector<SliceIndex>> Ownership::MissingReleases() const {
@@ -168,7 +168,7 @@
 }
 
 bool Ownership::IsOwner(SliceIndex slice) const {
-  return IsOwn(Find(slice).m_slice);
+  return IsOwn(LocalOf(slice).m_slice);
 }
 
 std::uint32_t Ownership::owned_count() const {
