End the log library in builds that look for leaks

Cause: under AddressSanitizer the library's objects, which are not ended any more, were reported as leaks at a process's end (Ownership.APlannedStop...: exit code 1). Those builds end it as before.

--- a/runtime/src/log_prefix.cc
+++ b/runtime/src/log_prefix.cc
@@ -115,7 +115,11 @@
 }
 
 void SetUpLogging(std::string_view level) {
+#ifdef __SANITIZE_ADDRESS__
+  static const log4cplus::Initializer library;
+#else
   static const auto* const library = new log4cplus::Initializer();
+#endif
   static_cast<void>(library);
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   log4cplus::Logger root = log4cplus::Logger::getRoot();
