Probe silent connections between processes and close them

Cause: a connection between two processes had a time-out only for writes that the system no longer accepts. One that falls silent accepts writes for long, so attempts, records and the operators' updates went into it for good. The datagrams that tell a member that it is behind still arrived; its query for the update went into the silent connection, too. Class: a connection counts as good until an error says otherwise.

Change: a connection that owes something and receives nothing for 250 ms is probed with a frame of its own, and closed after 750 ms, which ends its attempts as lost and lets the next one connect again. What decides is core/connection_liveness.h. A process that answers a probe while its target works is kept, however long that takes. Weighed: TCP's own keep-alive and user time-out, which a proxy that still acknowledges on the way satisfies.

Before: PeerTransport.ASilentConnectionIsClosedAndReplaced fails (no attempt lost after 10 s).

--- a/core/include/figlug/core/fwd.h
+++ b/core/include/figlug/core/fwd.h
@@ -32,6 +32,9 @@
 class LeaseWatcher;  // lease_watcher.h
 class ReaderChoice;  // reader_choice.h
 
+// Connections between processes.
+class ConnectionLiveness;  // connection_liveness.h
+
 // Admission beside one target.
 class ConcurrencyLimit;  // concurrency_limit.h
 class RequestIdFilter;   // request_id_filter.h
--- a/core/tests/parts_test.cc
+++ b/core/tests/parts_test.cc
@@ -8,6 +8,7 @@
 #include "figlug/core/assignment.h"
 #include "figlug/core/balancer.h"
 #include "figlug/core/concurrency_limit.h"
+#include "figlug/core/connection_liveness.h"
 #include "figlug/core/control_state.h"
 #include "figlug/core/latency_window.h"
 #include "figlug/core/request_id_filter.h"
@@ -192,4 +193,36 @@
   LONGS_EQUAL(1, state.FindProfile("p")->m_version);
 }
 
+TEST(Parts, ASilentConnectionIsProbedAndThenClosed) {
+  ConnectionLiveness liveness;
+  CHECK(liveness.Review(At(0)) == LivenessAction::kNone);
+  liveness.OnSent(At(0));
+  CHECK(liveness.Review(At(100)) == LivenessAction::kNone);
+  CHECK(liveness.Review(At(300)) == LivenessAction::kProbe);
+  CHECK(liveness.Review(At(400)) == LivenessAction::kNone);
+  CHECK(liveness.Review(At(1000)) == LivenessAction::kClose);
+}
+
+TEST(Parts, AConnectionThatReceivesIsKept) {
+  ConnectionLiveness liveness;
+  liveness.OnSent(At(0));
+  for (int ms = 300; ms < 3000; ms += 600) {
+    CHECK(liveness.Review(At(ms)) == LivenessAction::kProbe);
+    liveness.OnReceived(At(ms + 100), true);
+    CHECK(liveness.Review(At(ms + 200)) == LivenessAction::kNone);
+  }
+  liveness.OnReceived(At(3000), false);
+  CHECK_FALSE(liveness.is_outstanding());
+  CHECK(liveness.Review(At(9000)) == LivenessAction::kNone);
+}
+
+// What arrived during a pause of this process has not been read yet.
+TEST(Parts, AConnectionIsProbedAfterAPauseBeforeItIsClosed) {
+  ConnectionLiveness liveness;
+  liveness.OnSent(At(0));
+  CHECK(liveness.Review(At(9000)) == LivenessAction::kProbe);
+  CHECK(liveness.Review(At(9100)) == LivenessAction::kNone);
+  CHECK(liveness.Review(At(9600)) == LivenessAction::kClose);
+}
+
 }  // namespace figlug::core
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -18,6 +18,7 @@
 
 #include <log4cplus/loggingmacros.h>
 
+#include "figlug/core/connection_liveness.h"
 #include "figlug/runtime/impl/socket_address.h"
 #include "figlug/runtime/logging.h"
 
@@ -28,6 +29,8 @@
 constexpr timeval kConnectTimeout{0, 300'000};
 /// If a peer reads nothing for this long, its connection is closed.
 constexpr timeval kWriteTimeout{5, 0};
+/// Well below the times within which a silent connection is probed and closed.
+constexpr core::Duration kLivenessInterval = std::chrono::milliseconds(100);
 /// Bytes of one connection that are read before they are handled.
 constexpr std::size_t kMaxBatchBytes = 4U << 20;
 
@@ -49,7 +52,8 @@
   Impl(EventLoop& loop, PeerHandlers handlers)
       : m_loop(loop),
         m_handlers(std::move(handlers)),
-        m_free_retired(loop, [this] { m_retired.clear(); }) {}
+        m_free_retired(loop, [this] { m_retired.clear(); }),
+        m_liveness_timer(loop, [this] { ReviewLiveness(); }) {}
 
   ~Impl() {
     if (m_listener != nullptr) {
@@ -107,6 +111,8 @@
     core::Endpoint m_to;
     bool m_is_connected = false;
     std::set<core::AttemptId> m_attempts;
+    /// Used for connections opened by this process.
+    core::ConnectionLiveness m_liveness;
   };
   using Key = std::pair<std::string, std::uint16_t>;
 
@@ -177,6 +183,58 @@
     evbuffer_add(output, head.data(), head.size());
     evbuffer_add(output, body.data(), body.size());
     m_bytes_sent += head.size() + body.size();
+    if (connection.m_is_connected && IsOutbound(connection)) {
+      connection.m_liveness.OnSent(ReadClocks().m_time);
+      StartLivenessTimer();
+    }
+  }
+
+  static bool IsOutbound(const Connection& connection) {
+    return connection.m_id == PeerConnectionId{0};
+  }
+
+  void StartLivenessTimer() {
+    if (!std::exchange(m_is_reviewing_liveness, true)) {
+      m_liveness_timer.Set(kLivenessInterval);
+    }
+  }
+
+  // While data waits to be sent, the peer cannot have answered it. A connection
+  // that accepts no more data is left to the write timeout.
+  void ReviewLiveness() {
+    m_is_reviewing_liveness = false;
+    const core::Time now = ReadClocks().m_time;
+    std::vector<Connection*> silent;
+    for (auto& [key, connection] : m_outbound) {
+      if (!connection->m_is_connected ||
+          !connection->m_liveness.is_outstanding()) {
+        continue;
+      }
+      StartLivenessTimer();
+      if (evbuffer_get_length(bufferevent_get_output(connection->m_stream)) >
+          0) {
+        continue;
+      }
+      switch (connection->m_liveness.Review(now)) {
+        case core::LivenessAction::kNone:
+          break;
+        case core::LivenessAction::kProbe:
+          Write(*connection, wire::ProbeFrame{});
+          break;
+        case core::LivenessAction::kClose:
+          silent.push_back(connection.get());
+          break;
+      }
+    }
+    for (Connection* connection : silent) {
+      LOG4CPLUS_WARN(MemberLogger(), "connection to peer "
+                                         << connection->m_to.m_host << ":"
+                                         << connection->m_to.m_port
+                                         << " is silent; closing it with "
+                                         << connection->m_attempts.size()
+                                         << " attempts without a reply");
+      Close(*connection);
+    }
   }
 
   static void OnReadable(bufferevent* stream, void* arg) {
@@ -188,7 +246,10 @@
     connection->m_impl->Deliver(*connection, std::move(frames));
     if (!is_valid) {
       connection->m_impl->Close(*connection);
+      return;
     }
+    connection->m_liveness.OnReceived(ReadClocks().m_time,
+                                      !connection->m_attempts.empty());
   }
 
   // libevent reads a few KiB in each iteration of the loop. After a pause that
@@ -252,7 +313,13 @@
       }
       return;
     }
-    m_handlers.m_on_frame(connection.m_id, std::move(frame));
+    if (std::holds_alternative<wire::ProbeFrame>(frame)) {
+      Write(connection, wire::ProbeReplyFrame{});
+      return;
+    }
+    if (!std::holds_alternative<wire::ProbeReplyFrame>(frame)) {
+      m_handlers.m_on_frame(connection.m_id, std::move(frame));
+    }
   }
 
   static void OnEvent(bufferevent* stream, short events, void* arg) {
@@ -261,6 +328,8 @@
       connection->m_is_connected = true;
       EnableNoDelay(bufferevent_getfd(stream));
       bufferevent_set_timeouts(stream, nullptr, &kWriteTimeout);
+      connection->m_liveness.OnSent(ReadClocks().m_time);
+      connection->m_impl->StartLivenessTimer();
       return;
     }
     connection->m_impl->Close(*connection);
@@ -299,6 +368,8 @@
   std::map<PeerConnectionId, std::unique_ptr<Connection>> m_inbound;
   std::vector<std::unique_ptr<Connection>> m_retired;
   Timer m_free_retired;
+  Timer m_liveness_timer;
+  bool m_is_reviewing_liveness = false;
 };
 
 PeerTransport::PeerTransport(EventLoop& loop, PeerHandlers handlers)
--- a/runtime/tests/peer_transport_test.cc
+++ b/runtime/tests/peer_transport_test.cc
@@ -2,7 +2,9 @@
 
 #include "figlug/runtime/peer_transport.h"
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -74,4 +76,71 @@
   LONGS_EQUAL(1, delivered.size());
 }
 
+// Guards against a connection that falls silent without an error: every attempt
+// on it would end by its deadline, for as long as both processes run.
+TEST(PeerTransport, ASilentConnectionIsClosedAndReplaced) {
+  EventLoop gate_loop;
+  EventLoop ingress_loop;
+  std::vector<core::AttemptId> delivered;
+  PeerTransport gate(
+      gate_loop,
+      {.m_on_frame =
+           [&](PeerConnectionId, wire::Frame&& frame) {
+             if (auto* attempt = std::get_if<wire::AttemptFrame>(&frame)) {
+               delivered.push_back(attempt->m_attempt);
+             }
+           },
+       .m_on_reply = [](auto&&) {},
+       .m_on_lost = [](auto, auto) {},
+       .m_on_closed = [](auto) {}});
+  CHECK(gate.Listen(kGateAddress).has_value());
+  std::vector<std::pair<core::AttemptId, bool>> lost;
+  PeerTransport ingress(ingress_loop,
+                        {.m_on_frame = [](auto, auto&&) {},
+                         .m_on_reply = [](auto&&) {},
+                         .m_on_lost =
+                             [&](core::AttemptId attempt, bool was_sent) {
+                               lost.emplace_back(attempt, was_sent);
+                             },
+                         .m_on_closed = [](auto) {}});
+  CHECK(ingress.Listen(kIngressAddress).has_value());
+
+  // The gate's loop does not run: the system accepts the connection and its
+  // data, and nothing comes back.
+  ingress.SendAttempt(kGateAddress, MakeAttempt(1));
+  const core::Time end = ReadClocks().m_time + kWaitTimeout;
+  while (lost.empty() && ReadClocks().m_time < end) {
+    RunFor(ingress_loop, milliseconds(10));
+  }
+  LONGS_EQUAL(1, lost.size());
+  CHECK(lost.front() == std::pair(core::AttemptId{1}, true));
+
+  ingress.SendAttempt(kGateAddress, MakeAttempt(2));
+  while (std::ranges::count(delivered, core::AttemptId{2}) == 0 &&
+         ReadClocks().m_time < end) {
+    RunFor(ingress_loop, milliseconds(10));
+    RunFor(gate_loop, milliseconds(10));
+  }
+  LONGS_EQUAL(1, std::ranges::count(delivered, core::AttemptId{2}));
+}
+
+// A gate that works on an attempt for long answers probes meanwhile.
+TEST(PeerTransport, AnAttemptThatTakesLongIsNotLost) {
+  EventLoop loop;
+  PeerTransport gate(loop, {.m_on_frame = [](auto, auto&&) {},
+                            .m_on_reply = [](auto&&) {},
+                            .m_on_lost = [](auto, auto) {},
+                            .m_on_closed = [](auto) {}});
+  CHECK(gate.Listen(kGateAddress).has_value());
+  bool is_lost = false;
+  PeerTransport ingress(loop, {.m_on_frame = [](auto, auto&&) {},
+                               .m_on_reply = [](auto&&) {},
+                               .m_on_lost = [&](auto, auto) { is_lost = true; },
+                               .m_on_closed = [](auto) {}});
+  CHECK(ingress.Listen(kIngressAddress).has_value());
+  ingress.SendAttempt(kGateAddress, MakeAttempt(1));
+  RunFor(loop, std::chrono::seconds(3));
+  CHECK_FALSE(is_lost);
+}
+
 }  // namespace figlug::runtime
--- a/wire/include/figlug/wire/frame.h
+++ b/wire/include/figlug/wire/frame.h
@@ -38,9 +38,19 @@
   core::AttemptId m_attempt{0};
 };
 
+/// \brief Asks whether the connection still carries data in both directions.
+struct ProbeFrame {};
+
+/// \brief Answers a probe on the connection that it came from.
+struct ProbeReplyFrame {};
+
 /// \brief Any message on a stream connection between peers.
-using Frame =
-    std::variant<AttemptFrame, ReplyFrame, CancelFrame, core::PeerMessage>;
+using Frame = std::variant<AttemptFrame,
+                           ReplyFrame,
+                           CancelFrame,
+                           core::PeerMessage,
+                           ProbeFrame,
+                           ProbeReplyFrame>;
 
 /// \brief Size of the prefix of each frame: the lengths of its head and body as
 /// two 32-bit big-endian numbers.
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -108,5 +108,8 @@
       configuration @22 :Data;
       domainsOut @23 :List(Text);
     }
+    # Ask whether the connection still carries data, and the answer.
+    probe @24 :Void;
+    probeReply @25 :Void;
   }
 }
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -219,6 +219,8 @@
   void operator()(const core::PeerMessage& message) {
     std::visit(PeerMessageWriter{m_out}, message);
   }
+  void operator()(const ProbeFrame&) { m_out.setProbe(); }
+  void operator()(const ProbeReplyFrame&) { m_out.setProbeReply(); }
 };
 
 Frame ReadAttempt(schema::Frame::Attempt::Reader in, std::string_view body) {
@@ -331,6 +333,10 @@
           core::OperatorUpdateQuery{MemberId(in.getOperatorNewsQuery())});
     case schema::Frame::OPERATOR_NEWS:
       return ReadOperatorUpdate(in.getOperatorNews());
+    case schema::Frame::PROBE:
+      return ProbeFrame{};
+    case schema::Frame::PROBE_REPLY:
+      return ProbeReplyFrame{};
   }
   return CancelFrame{};
 }
