--- a/core/include/figlug/core/action.h
+++ b/core/include/figlug/core/action.h
@@ -33,6 +33,8 @@
 struct AppendRecord {
   AppendId m_id{0};
   Record m_record;
+  /// Era of the log that the record was decided in.
+  Era m_era = 0;
 };
 
 /// \brief The metadata of an attempt that a gate needs for admission.
@@ -99,7 +101,7 @@
 struct Fence {
   std::string m_service;
   SliceIndex m_slice = 0;
-  Offset m_epoch = 0;
+  Position m_epoch = 0;
 };
 
 /// \brief Send work to the target now.
@@ -141,6 +143,9 @@
   OperatorUpdate m_update;
 };
 
+/// \brief The log has been restored from a copy: read the control state again.
+struct ReloadLog {};
+
 /// \brief This member was removed: it needs a new id and a new join.
 struct IdentityLost {};
 
@@ -159,6 +164,7 @@
                             FinishCall,
                             ApplyOperatorUpdate,
                             StateChanged,
+                            ReloadLog,
                             IdentityLost,
                             ReadyToStop>;
 
--- a/core/include/figlug/core/control_state.h
+++ b/core/include/figlug/core/control_state.h
@@ -40,8 +40,8 @@
 /// \brief A former owner that has not confirmed the release of a slice.
 struct PreviousHolder {
   MemberId m_member = kNoMember;
-  /// Offset of the record that reassigned the slice.
-  Offset m_taken_at = 0;
+  /// Position of the record that reassigned the slice.
+  Position m_taken_at = 0;
 
   bool operator==(const PreviousHolder&) const = default;
 };
@@ -49,10 +49,11 @@
 /// \brief A part of a service's key space and its single owner.
 struct Slice {
   MemberId m_owner = kNoMember;
-  /// Offset of the assigning record: the fencing token.
-  Offset m_epoch = 0;
-  /// Offset at which a holder was last removed without a release; 0 if never.
-  Offset m_lost_at = 0;
+  /// Position of the assigning record: the fencing token.
+  Position m_epoch = 0;
+  /// Position at which a holder was last removed without a release, or may have
+  /// been; 0 if never.
+  Position m_lost_at = 0;
   std::vector<PreviousHolder> m_previous_holders;
 
   bool operator==(const Slice&) const = default;
@@ -110,6 +111,17 @@
   [[nodiscard]] Offset next() const noexcept { return m_next; }
   /// \brief Skips to an offset, for a log whose first offset is above zero.
   void set_next(Offset next) noexcept { m_next = next; }
+  /// \brief Era of the records applied last.
+  [[nodiscard]] Era era() const noexcept { return m_era; }
+  /// \brief Whether no holder is left that only lost records of an earlier era
+  /// had named.
+  [[nodiscard]] bool is_era_settled() const noexcept {
+    return m_is_era_settled;
+  }
+  /// \brief Position of the first record that has not been applied.
+  [[nodiscard]] Position position() const noexcept {
+    return MakePosition(m_era, m_next);
+  }
 
   [[nodiscard]] const Member* FindMember(MemberId id) const noexcept;
   [[nodiscard]] const Service* FindService(
@@ -160,6 +172,8 @@
   /// \brief The full content of a state, as stored in a checkpoint.
   struct Snapshot {
     Offset m_next = 0;
+    Era m_era = 0;
+    bool m_is_era_settled = true;
     std::map<MemberId, Member> m_members;
     std::map<std::string, Service, std::less<>> m_services;
     std::map<std::string, VersionedProfile, std::less<>> m_profiles;
@@ -187,7 +201,13 @@
   ApplyResult ApplyRecord(Offset offset, const ForceDownRecord& record);
   ApplyResult ApplyRecord(Offset offset, const CheckpointRecord& record);
   ApplyResult ApplyRecord(Offset offset, const MoveRecord& record);
+  ApplyResult ApplyRecord(Offset offset, const EraRecord& record);
+  ApplyResult ApplyRecord(Offset offset, const EraSettledRecord& record);
 
+  [[nodiscard]] Position PositionOf(Offset offset) const noexcept {
+    return MakePosition(m_era, offset);
+  }
+  [[nodiscard]] bool HasHolders() const;
   [[nodiscard]] bool EnablesSlicing(std::string_view from,
                                     const Profile& to) const;
   bool RememberAppend(AppendId id);
@@ -206,6 +226,8 @@
   };
 
   Offset m_next = 0;
+  Era m_era = 0;
+  bool m_is_era_settled = true;
   std::map<MemberId, Member> m_members;
   std::map<std::string, Service, std::less<>> m_services;
   std::map<std::string, VersionedProfile, std::less<>> m_profiles;
--- a/core/include/figlug/core/ids.h
+++ b/core/include/figlug/core/ids.h
@@ -16,8 +16,28 @@
 /// \brief Idempotency key of one append; random.
 enum class AppendId : std::uint64_t {};
 
-/// \brief Position of a record in the log; also the fencing token.
+/// \brief Offset of a record in the log. A log that has been restored from an
+/// older copy assigns offsets again.
 using Offset = std::uint64_t;
+/// \brief Number of times that the log has been restored.
+using Era = std::uint32_t;
+/// \brief Era and offset as one number that only increases: the fencing token,
+/// and the order of whatever was derived from the log.
+using Position = std::uint64_t;
+
+/// \brief Bits of a position that hold the offset.
+inline constexpr unsigned kPositionOffsetBits = 32;
+
+[[nodiscard]] constexpr Position MakePosition(Era era, Offset offset) noexcept {
+  return Position{era} << kPositionOffsetBits | offset;
+}
+[[nodiscard]] constexpr Era EraOf(Position position) noexcept {
+  return static_cast<Era>(position >> kPositionOffsetBits);
+}
+[[nodiscard]] constexpr Offset OffsetOf(Position position) noexcept {
+  return position & ((Position{1} << kPositionOffsetBits) - 1);
+}
+
 /// \brief Number of a member's watcher set, from 1.
 using Generation = std::uint32_t;
 /// \brief Number of a slice within its service.
--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -65,7 +65,7 @@
   std::string m_profile;
   std::uint64_t m_profile_version = 0;
   std::optional<SliceIndex> m_slice;
-  Offset m_epoch = 0;
+  Position m_epoch = 0;
   Reason m_reason = Reason::kNone;
   std::vector<MemberId> m_members;
 };
--- a/core/include/figlug/core/lease_watcher.h
+++ b/core/include/figlug/core/lease_watcher.h
@@ -43,6 +43,9 @@
   /// once.
   [[nodiscard]] std::vector<VoteRecord>
   DueSubstituteVotes(Time now, MemberId self, const ControlState& state);
+  /// \brief Makes the votes that the control state lacks due again, because the
+  /// log may have lost them.
+  void RepeatVotes();
   /// \brief Extends all pledges after a pause of this process, since heartbeats
   /// may have arrived that are not read yet.
   void OnResumed(Time now);
@@ -51,6 +54,8 @@
   struct Pledge {
     Time m_until{};
     bool m_voted = false;
+    /// Whether the vote is due again.
+    bool m_repeats_vote = false;
   };
   using Subject = std::pair<MemberId, Generation>;
 
--- a/core/include/figlug/core/messages.h
+++ b/core/include/figlug/core/messages.h
@@ -20,10 +20,13 @@
   Generation m_proposed = 0;
   /// The member's own clock.
   Time m_sent_at{};
-  /// First offset of the log that the member has not applied.
-  Offset m_next = 0;
-  /// First offset of the operators' topic that the member has not read.
-  Offset m_operators_next = 0;
+  /// Era of the log as the member reads it, and the first offset that the
+  /// member has not applied.
+  Position m_next = 0;
+  /// First position of the operators' topic that the member has not read.
+  Position m_operators_next = 0;
+  /// Version of the configuration in force at the member; 0 for none.
+  std::uint64_t m_configuration = 0;
 };
 
 /// \brief A watcher's confirmation of a heartbeat: it will not vote against the
@@ -38,19 +41,21 @@
   /// Whether the watcher's own watchers receive its heartbeats; only then does
   /// the acknowledgement count towards the member's lease.
   bool m_is_pledge = false;
-  /// First offset of the log that the watcher has not applied.
-  Offset m_next = 0;
-  /// First offset of the operators' topic that the watcher has not read.
-  Offset m_operators_next = 0;
+  /// The same of the watcher as in Heartbeat.
+  Position m_next = 0;
+  Position m_operators_next = 0;
+  std::uint64_t m_configuration = 0;
 };
 
 /// \brief Tells the other members of a failure domain that a member has read
 /// the operators' topic.
 struct ReadReport {
   MemberId m_reader = kNoMember;
-  /// First offset of the operators' topic that the reader had not forwarded
+  /// First position of the operators' topic that the reader had not forwarded
   /// before this read.
-  Offset m_operators_next = 0;
+  Position m_operators_next = 0;
+  /// Version of the configuration in force at the reader; 0 for none.
+  std::uint64_t m_configuration = 0;
 };
 
 using Datagram = std::variant<Heartbeat, HeartbeatAck, ReadReport>;
@@ -64,8 +69,8 @@
 /// \brief One slice that a previous owner has released.
 struct ReleasedSlice {
   SliceIndex m_slice = 0;
-  /// Offset of the loss of a holder that m_ids accounts for.
-  Offset m_lost_at = 0;
+  /// Position of the loss of a holder that m_ids accounts for.
+  Position m_lost_at = 0;
   SliceRequestIds m_ids;
   /// Handover token of the previous holder's target; empty for none.
   std::string m_handover;
@@ -74,19 +79,21 @@
 /// \brief A previous owner's confirmation that it no longer serves slices.
 struct Release {
   MemberId m_from = kNoMember;
-  /// Last offset applied when the slices were released.
-  Offset m_folded = 0;
+  /// Position of the last record applied when the slices were released.
+  Position m_folded = 0;
   std::vector<ReleasedSlice> m_slices;
 };
 
 /// \brief Asks a peer for records that cannot be read from the log now.
 struct RecordsQuery {
   MemberId m_from = kNoMember;
-  Offset m_next = 0;
+  Position m_next = 0;
 };
 
 /// \brief Records that a peer has read, in order.
 struct Records {
+  /// Era of the log that they were read in.
+  Era m_era = 0;
   std::vector<LogEntry> m_entries;
 };
 
@@ -97,8 +104,10 @@
 
 /// \brief The operators' configuration and exclusions, as a peer has read them.
 struct OperatorUpdate {
-  /// First offset of the operators' topic that this does not include.
-  Offset m_next = 0;
+  /// First position of the operators' topic that this does not include.
+  Position m_next = 0;
+  /// Version of the configuration; 0 for none.
+  std::uint64_t m_version = 0;
   /// Newest configuration as operators wrote it; empty for none.
   std::string m_configuration;
   std::vector<std::string> m_excluded_domains;
--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -48,9 +48,18 @@
   Node(NodeSettings settings, Now now);
 
   /// \brief Starts from a checkpoint, or from the empty state of a new log.
+  /// \param era Era of the log that the state was read in.
   template <ActionSink Sink>
-  void OnStart(Now now, ControlState state, Sink&& sink) {
-    HandleStart(now, std::move(state));
+  void OnStart(Now now, Era era, ControlState state, Sink&& sink) {
+    HandleStart(now, era, std::move(state));
+    Deliver(sink);
+  }
+  /// \brief The log has been restored from an older copy: continues from the
+  /// state that the log has now.
+  /// \param era Era of the log that the state was read in.
+  template <ActionSink Sink>
+  void OnRestored(Now now, Era era, ControlState state, Sink&& sink) {
+    HandleRestored(now, era, std::move(state));
     Deliver(sink);
   }
   /// \brief The state has caught up with the log, so this member may join.
@@ -118,8 +127,8 @@
   void OnGateLoad(Now now, AttemptId attempt, const GateLoad& load) {
     m_ingress.OnGateLoad(now.m_time, attempt, load);
   }
-  /// \brief Applies records from the log or a peer. Records that are already
-  /// applied, or that follow a gap, are skipped.
+  /// \brief Applies records from the log. Records that are already applied, or
+  /// that follow a gap, are skipped.
   template <ActionSink Sink>
   void OnRecords(Now now, std::span<const LogEntry> entries, Sink&& sink) {
     HandleRecords(now, entries);
@@ -220,6 +229,8 @@
     return Ingress::Explain(head, ViewForIngress());
   }
   [[nodiscard]] const ControlState& state() const noexcept { return m_state; }
+  /// \brief Era of the log that the state was read in.
+  [[nodiscard]] Era log_era() const noexcept { return m_log_era; }
   [[nodiscard]] const MemberInfo& self() const noexcept {
     return m_settings.m_self;
   }
@@ -261,7 +272,7 @@
   };
   struct ProgressMark {
     Time m_time{};
-    Offset m_next = 0;
+    Position m_next = 0;
   };
 
   template <class Sink>
@@ -273,7 +284,8 @@
     }
   }
 
-  void HandleStart(Now now, ControlState state);
+  void HandleStart(Now now, Era era, ControlState state);
+  void HandleRestored(Now now, Era era, ControlState state);
   void HandleCaughtUp(Now now);
   void HandleTargetHealth(Now now, bool is_up);
   [[nodiscard]] HoldGrant HandleTargetReport(Now now,
@@ -322,7 +334,19 @@
   void ForwardToDomain(Now now, const PeerMessage& message);
   template <class Function>
   void ForEachDomainPeer(Function&& function) const;
-  void RequestOperatorUpdate(Now now, MemberId peer, Offset peer_next);
+  /// \param peer_next Position up to which the peer knows the operators' topic.
+  /// \param peer_configuration Version of the configuration in force there.
+  void RequestOperatorUpdate(Now now,
+                             MemberId peer,
+                             Position peer_next,
+                             std::uint64_t peer_configuration);
+  [[nodiscard]] bool IsNewer(Position next, std::uint64_t configuration) const;
+  [[nodiscard]] std::uint64_t ConfigurationVersion() const;
+  /// \brief Position of the next record to be read.
+  [[nodiscard]] Position ReadPosition() const;
+  void RequestReload(Now now, Position peer_next);
+  [[nodiscard]] bool IsEraSettled() const;
+  void ReviewEra(Now now);
 
   void ReportStateChange(StateChanged change);
   void ApplyEntry(Now now, const LogEntry& entry);
@@ -343,7 +367,7 @@
   void WriteCheckpoint(Now now);
   void ReviewDrain(Now now);
   void ReviewStop(Now now);
-  [[nodiscard]] bool IsBehind(Now now, Offset next) const;
+  [[nodiscard]] bool IsBehind(Now now, Position next) const;
   [[nodiscard]] const Member* FindSelf() const noexcept;
   [[nodiscard]] Reason ClosedReason(Time now) const;
   [[nodiscard]] GateView ViewForGate(Now now);
@@ -389,6 +413,13 @@
   std::map<AppendId, PendingAppend> m_appends;
   std::deque<LogEntry> m_recent_entries;
   std::deque<ProgressMark> m_progress_marks;
+  Era m_log_era = 0;
+  /// Whether the log has been restored since this process started.
+  bool m_was_restored = false;
+  /// When the era's last change was seen.
+  Time m_era_changed_at{};
+  Time m_next_era_append{};
+  Time m_next_reload{};
   bool m_log_healthy = false;
   bool m_caught_up = false;
   bool m_target_up = false;
@@ -419,9 +450,9 @@
   bool m_refuses_new_calls = false;
   Time m_next_release_record{};
   /// Epoch for which each slice's release was sent to the new owner.
-  std::map<SliceIndex, Offset> m_sent_releases;
+  std::map<SliceIndex, Position> m_sent_releases;
   /// Epoch for which each slice's release was appended to the log.
-  std::map<SliceIndex, Offset> m_logged_releases;
+  std::map<SliceIndex, Position> m_logged_releases;
 };
 
 }  // namespace figlug::core
--- a/core/include/figlug/core/ownership.h
+++ b/core/include/figlug/core/ownership.h
@@ -41,9 +41,18 @@
                        WallTime wall,
                        const Service& service,
                        Duration takeover_wait);
+  /// \brief Replaces all slices, because the log has been restored.
+  /// \param is_lease_valid Whether this member held its lease until now. Then
+  /// the slices that were ready and are still its own stay ready.
+  void OnRestored(Time now, const Service* service, bool is_lease_valid);
+  /// \brief Sets whether holders that only lost records had named may be left.
+  /// Until then only slices that stayed ready are.
+  void set_may_have_unknown_holders(bool may_have) noexcept {
+    m_may_have_unknown_holders = may_have;
+  }
   [[nodiscard]] SliceStatus StatusOf(Time now, SliceIndex slice) const;
   /// \brief Fencing token of a slice this member owns.
-  [[nodiscard]] Offset EpochOf(SliceIndex slice) const;
+  [[nodiscard]] Position EpochOf(SliceIndex slice) const;
   /// \brief Handles a previous holder's confirmation that it released slices.
   void OnRelease(const Release& release);
   /// \brief Records a request id of a slice that is ready.
@@ -74,8 +83,11 @@
  private:
   struct LocalSlice {
     Slice m_slice;
-    /// Offset of the latest holder loss that the request id filter covers.
-    Offset m_covered_loss = 0;
+    /// Position of the latest holder loss that the request id filter covers.
+    Position m_covered_loss = 0;
+    /// Whether the slice was ready when the log was restored and has been this
+    /// member's own since.
+    bool m_is_continued = false;
     WallTime m_lost_wall_time{};
     Time m_ready_at{};
   };
@@ -94,9 +106,10 @@
   MemberId m_self;
   std::vector<LocalSlice> m_local;
   std::uint32_t m_owned = 0;
-  /// Offset up to which each previous holder of an own slice confirmed its
+  bool m_may_have_unknown_holders = false;
+  /// Position up to which each previous holder of an own slice confirmed its
   /// release.
-  std::map<SliceIndex, std::map<MemberId, Offset>> m_released;
+  std::map<SliceIndex, std::map<MemberId, Position>> m_released;
   /// Own slices with previous holders in the control state.
   std::set<SliceIndex> m_awaiting_release;
   /// Slices owned by others, or unowned, of which this member is a previous
--- a/core/include/figlug/core/record.h
+++ b/core/include/figlug/core/record.h
@@ -58,8 +58,8 @@
 /// \brief Confirms that a previous holder has released slices.
 struct ReleaseRecord {
   MemberId m_member = kNoMember;
-  /// Offset of the last record applied when the slices were released.
-  Offset m_folded = 0;
+  /// Position of the last record applied when the slices were released.
+  Position m_folded = 0;
   std::vector<SliceIndex> m_slices;
 };
 
@@ -67,9 +67,9 @@
 struct MoveRecord {
   MemberId m_from = kNoMember;
   MemberId m_to = kNoMember;
-  /// Offset of the last record applied when the move was decided; slices
+  /// Position of the last record applied when the move was decided; slices
   /// assigned later are not moved.
-  Offset m_folded = 0;
+  Position m_folded = 0;
   std::vector<SliceIndex> m_slices;
 };
 
@@ -105,6 +105,20 @@
   std::shared_ptr<const ControlState> m_state;
 };
 
+/// \brief Begins an era: the log has been restored from a copy, and the records
+/// after that copy are lost. Ends all fencing tokens given before.
+struct EraRecord {
+  Era m_era = 0;
+  /// Whether the writer has seen the log restored; a new log has no holders
+  /// that its records do not show.
+  bool m_follows_restore = false;
+};
+
+/// \brief Confirms that whatever lost records had granted has expired.
+struct EraSettledRecord {
+  Era m_era = 0;
+};
+
 /// \brief A log entry that cannot be decoded as a record of figlug.
 struct UnreadableRecord {};
 
@@ -120,7 +134,9 @@
                             ExclusionRecord,
                             ForceDownRecord,
                             CheckpointRecord,
-                            MoveRecord>;
+                            MoveRecord,
+                            EraRecord,
+                            EraSettledRecord>;
 
 /// \brief Name of a record's kind, as used in logs.
 [[nodiscard]] std::string_view NameOf(const Record& record) noexcept;
--- a/core/include/figlug/core/state_change.h
+++ b/core/include/figlug/core/state_change.h
@@ -29,10 +29,12 @@
   /// The target has named the requests per second that it takes.
   kTargetLimited,
   kTargetUnlimited,
+  /// The log has been restored from a copy; the count is its era.
+  kLogRestored,
 };
 
 inline constexpr std::uint8_t kStateChangeKindCount =
-    static_cast<std::uint8_t>(StateChangeKind::kTargetUnlimited) + 1;
+    static_cast<std::uint8_t>(StateChangeKind::kLogRestored) + 1;
 
 /// \brief Event name in the decision log.
 [[nodiscard]] std::string_view ToString(StateChangeKind kind) noexcept;
@@ -46,7 +48,7 @@
   std::string_view m_record;
   /// First offset of the log that was not applied at that time.
   Offset m_next = 0;
-  /// Number of keys, domains or requests per second concerned.
+  /// Number of keys, domains or requests per second concerned, or an era.
   std::uint64_t m_count = 0;
 };
 
--- a/core/include/figlug/core/target_holds.h
+++ b/core/include/figlug/core/target_holds.h
@@ -61,7 +61,7 @@
   struct SliceRange {
     SliceIndex m_first = 0;
     SliceIndex m_last = 0;
-    Offset m_fence = 0;
+    Position m_fence = 0;
     std::string m_handover;
     bool m_is_held = false;
   };
--- a/core/include/figlug/core/target_report.h
+++ b/core/include/figlug/core/target_report.h
@@ -46,7 +46,7 @@
 /// \brief Keys that a target may hold.
 struct GrantedRange {
   KeyRange m_keys;
-  Offset m_fence = 0;
+  Position m_fence = 0;
   /// Handover token of the previous holder; empty for none.
   std::string m_handover;
 };
--- a/core/src/control_state.cc
+++ b/core/src/control_state.cc
@@ -18,16 +18,16 @@
 // Reassigns a slice whose owner, if any, is still a member. That owner becomes
 // a previous holder; the new owner does not serve the slice until every
 // previous holder has released it.
-void ReassignSlice(Slice& slice, MemberId to, Offset offset) {
+void ReassignSlice(Slice& slice, MemberId to, Position position) {
   if (slice.m_owner != kNoMember) {
     std::erase_if(slice.m_previous_holders,
                   [&](const PreviousHolder& previous) {
                     return previous.m_member == slice.m_owner;
                   });
-    slice.m_previous_holders.push_back({slice.m_owner, offset});
+    slice.m_previous_holders.push_back({slice.m_owner, position});
   }
   slice.m_owner = to;
-  slice.m_epoch = offset;
+  slice.m_epoch = position;
 }
 
 bool IsHolder(const Slice& slice, MemberId id) {
@@ -131,6 +131,8 @@
 ControlState ControlState::FromSnapshot(Snapshot snapshot) {
   ControlState state;
   state.m_next = snapshot.m_next;
+  state.m_era = snapshot.m_era;
+  state.m_is_era_settled = snapshot.m_is_era_settled;
   state.m_members = std::move(snapshot.m_members);
   state.m_services = std::move(snapshot.m_services);
   state.m_profiles = std::move(snapshot.m_profiles);
@@ -402,13 +404,52 @@
   for (SliceIndex index : record.m_slices) {
     if (index < slices.size() && slices[index].m_owner == record.m_from &&
         slices[index].m_epoch <= record.m_folded) {
-      ReassignSlice(slices[index], record.m_to, offset);
+      ReassignSlice(slices[index], record.m_to, PositionOf(offset));
     }
   }
   ++m_slice_changes.m_count;
   return kApplied;
 }
 
+// Lost records may have named other owners than those that are known now, and
+// offsets are assigned again. Every slice gets a fence above all earlier ones,
+// counts as lost by an unknown holder, and must be released anew.
+ApplyResult ControlState::ApplyRecord(Offset offset, const EraRecord& record) {
+  if (record.m_era <= m_era) {
+    return Rejected(RejectReason::kStale);
+  }
+  m_era = record.m_era;
+  m_is_era_settled = !record.m_follows_restore && !HasHolders();
+  const Position position = PositionOf(offset);
+  for (auto& [name, service] : m_services) {
+    for (Slice& slice : service.m_slices) {
+      slice.m_epoch = position;
+      slice.m_lost_at = position;
+      for (PreviousHolder& previous : slice.m_previous_holders) {
+        previous.m_taken_at = position;
+      }
+    }
+  }
+  ++m_slice_changes.m_count;
+  return kApplied;
+}
+
+ApplyResult ControlState::ApplyRecord(Offset, const EraSettledRecord& record) {
+  if (record.m_era != m_era || m_is_era_settled) {
+    return Rejected(RejectReason::kStale);
+  }
+  m_is_era_settled = true;
+  return kApplied;
+}
+
+bool ControlState::HasHolders() const {
+  return std::ranges::any_of(m_services, [](const auto& entry) {
+    return std::ranges::any_of(entry.second.m_slices, [](const Slice& slice) {
+      return slice.m_owner != kNoMember || !slice.m_previous_holders.empty();
+    });
+  });
+}
+
 // While traffic is not sliced, no member is recorded as a holder. If slicing
 // were enabled later, a process that lags behind in the log could still serve a
 // key concurrently with the key's new owner.
@@ -439,7 +480,7 @@
   AddRemovedWatcher(id, is_certain);
   for (Slice& slice : m_services[service].m_slices) {
     if (IsHolder(slice, id)) {
-      slice.m_lost_at = offset;
+      slice.m_lost_at = PositionOf(offset);
       RemoveHolder(slice, id);
     }
   }
@@ -489,7 +530,7 @@
   const std::vector<MemberId> new_owners = AssignSlices(owners, candidates);
   for (std::size_t i = 0; i < slices.size(); ++i) {
     if (new_owners[i] != owners[i]) {
-      ReassignSlice(slices[i], new_owners[i], offset);
+      ReassignSlice(slices[i], new_owners[i], PositionOf(offset));
       ++m_slice_changes.m_count;
     }
   }
--- a/core/src/gate.cc
+++ b/core/src/gate.cc
@@ -219,7 +219,7 @@
   }
   ++m_running;
   ++m_running_by_slice[head.m_slice];
-  const Offset epoch =
+  const Position epoch =
       IsSliced(view.m_profile) ? view.m_ownership.EpochOf(head.m_slice) : 0;
   out.emplace_back(DispatchWork{id,
                                 {head.m_service, head.m_slice, epoch},
--- a/core/src/lease_watcher.cc
+++ b/core/src/lease_watcher.cc
@@ -1,6 +1,7 @@
 #include "figlug/core/lease_watcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -58,8 +59,10 @@
         Pledge{.m_until = now + m_timing.m_first_contact_timeout});
     // The caller repeats the append until the record is read back from the log;
     // a second vote would be rejected.
-    if (!is_new && now > it->second.m_until && !it->second.m_voted) {
-      it->second.m_voted = true;
+    Pledge& pledge = it->second;
+    const bool is_due = !is_new && now > pledge.m_until && !pledge.m_voted;
+    if (is_due || std::exchange(pledge.m_repeats_vote, false)) {
+      pledge.m_voted = true;
       votes.push_back({self, id, member.m_generation});
     }
   }
@@ -112,6 +115,13 @@
   return votes;
 }
 
+void LeaseWatcher::RepeatVotes() {
+  for (auto& [subject, pledge] : m_pledges) {
+    pledge.m_repeats_vote = pledge.m_voted;
+  }
+  m_substitute_votes.clear();
+}
+
 // Silence counts only while this process was able to receive heartbeats.
 void LeaseWatcher::OnResumed(Time now) {
   for (auto& [subject, pledge] : m_pledges) {
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -55,13 +55,15 @@
   m_log_first = first;
 }
 
-void Node::HandleStart(Now now, ControlState state) {
+void Node::HandleStart(Now now, Era era, ControlState state) {
+  m_log_era = era;
   m_state = std::move(state);
   m_checkpointed = m_state.next();
   m_checkpointed_at = now.m_time;
   m_log_first = 0;
   m_progress_marks.clear();
   m_recent_entries.clear();
+  m_era_changed_at = now.m_time;
   AfterApply(now);
 }
 
@@ -120,7 +122,7 @@
 // Only the newest mark that is older than the stale-reader limit is ever used;
 // earlier ones are dropped.
 void Node::RecordProgress(Now now) {
-  m_progress_marks.push_back({now.m_time, m_state.next()});
+  m_progress_marks.push_back({now.m_time, ReadPosition()});
   while (m_progress_marks.size() > 1 &&
          m_progress_marks[1].m_time +
                  m_settings.m_timing.m_stale_reader_timeout <=
@@ -131,7 +133,11 @@
 
 void Node::ApplyEntry(Now now, const LogEntry& entry) {
   const std::uint64_t slice_changes = m_state.slice_changes();
+  const Era era = m_state.era();
   const ApplyResult result = m_state.Apply(entry);
+  if (m_state.era() != era) {
+    m_era_changed_at = now.m_time;
+  }
   ReportStateChange({result.m_applied ? StateChangeKind::kRecordApplied
                                       : StateChangeKind::kRecordRejected,
                      result.m_removed, NameOf(entry.m_record)});
@@ -177,6 +183,7 @@
 }
 
 void Node::AfterApply(Now now) {
+  m_ownership.set_may_have_unknown_holders(!IsEraSettled());
   m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
   m_next_review = now.m_time;
   PublishReleases(now);
@@ -196,6 +203,7 @@
   m_lease = LeaseHolder(m_settings.m_timing);
   m_watcher = LeaseWatcher(m_settings.m_timing);
   m_ownership = Ownership(kNoMember);
+  m_ownership.set_may_have_unknown_holders(!IsEraSettled());
   m_appends.clear();
   m_sent_releases.clear();
   m_logged_releases.clear();
@@ -214,6 +222,7 @@
   m_identity_lost = false;
   m_settings.m_self.m_id = id;
   m_ownership = Ownership(id);
+  m_ownership.set_may_have_unknown_holders(!IsEraSettled());
   if (const Service* service =
           m_state.FindService(m_settings.m_self.m_service)) {
     m_ownership.OnRecordApplied(now.m_time, now.m_wall, *service,
@@ -233,6 +242,7 @@
 // A member that has not read the log for a long time may not know that it was
 // removed. Its heartbeats are not acknowledged, so that its lease expires.
 void Node::On(Now now, const Heartbeat& heartbeat) {
+  RequestReload(now, heartbeat.m_next);
   if (m_identity_lost || IsBehind(now, heartbeat.m_next)) {
     return;
   }
@@ -240,14 +250,22 @@
   if (member == nullptr) {
     return;
   }
-  RequestOperatorUpdate(now, heartbeat.m_member, heartbeat.m_operators_next);
+  RequestOperatorUpdate(now, heartbeat.m_member, heartbeat.m_operators_next,
+                        heartbeat.m_configuration);
   HeartbeatAck ack{
       .m_watcher = m_settings.m_self.m_id,
       .m_member = heartbeat.m_member,
       .m_sent_at = heartbeat.m_sent_at,
       .m_is_pledge = !m_leaving && m_lease.IsAcknowledgedByMajority(now.m_time),
-      .m_next = m_state.next(),
-      .m_operators_next = m_operator_update.m_next};
+      .m_next = ReadPosition(),
+      .m_operators_next = m_operator_update.m_next,
+      .m_configuration = ConfigurationVersion()};
+  // The member holds what lost records had given it. It is told, and its lease
+  // expires unless it reads the log again.
+  if (EraOf(heartbeat.m_next) < m_log_era) {
+    m_actions.emplace_back(SendDatagram{member->m_info.m_peer, ack});
+    return;
+  }
   if (heartbeat.m_generation != 0 &&
       m_watcher.OnHeartbeat(now.m_time, heartbeat.m_member,
                             heartbeat.m_generation)) {
@@ -275,8 +293,10 @@
   if (!had_lease && m_lease.IsValid(now.m_time)) {
     m_gate.Refresh(now.m_time, ViewForGate(now), m_actions);
   }
-  RequestOperatorUpdate(now, ack.m_watcher, ack.m_operators_next);
-  if (ack.m_next <= m_state.next()) {
+  RequestOperatorUpdate(now, ack.m_watcher, ack.m_operators_next,
+                        ack.m_configuration);
+  RequestReload(now, ack.m_next);
+  if (ack.m_next <= ReadPosition() || EraOf(ack.m_next) > m_log_era) {
     m_behind_since.reset();
     return;
   }
@@ -288,7 +308,7 @@
     m_next_records_query = now.m_time + kRecordsQueryInterval;
     m_actions.emplace_back(
         SendPeerMessage{watcher->m_info.m_peer,
-                        RecordsQuery{m_settings.m_self.m_id, m_state.next()}});
+                        RecordsQuery{m_settings.m_self.m_id, ReadPosition()}});
   }
 }
 
@@ -308,20 +328,26 @@
 
 void Node::On(Now, const RecordsQuery& query) {
   const Member* member = m_state.FindMember(query.m_from);
+  const Offset next = OffsetOf(query.m_next);
   if (member == nullptr || m_recent_entries.empty() ||
-      query.m_next < m_recent_entries.front().m_offset ||
-      query.m_next >= m_state.next()) {
+      EraOf(query.m_next) != m_log_era ||
+      next < m_recent_entries.front().m_offset || next >= m_state.next()) {
     return;
   }
-  const auto skipped = static_cast<std::ptrdiff_t>(
-      query.m_next - m_recent_entries.front().m_offset);
+  const auto skipped =
+      static_cast<std::ptrdiff_t>(next - m_recent_entries.front().m_offset);
   m_actions.emplace_back(SendPeerMessage{
       member->m_info.m_peer,
-      Records{{m_recent_entries.begin() + skipped, m_recent_entries.end()}}});
+      Records{m_log_era,
+              {m_recent_entries.begin() + skipped, m_recent_entries.end()}}});
 }
 
 void Node::On(Now now, const Records& records) {
-  HandleRecords(now, records.m_entries);
+  if (records.m_era == m_log_era) {
+    HandleRecords(now, records.m_entries);
+    return;
+  }
+  RequestReload(now, MakePosition(records.m_era, 0));
 }
 
 void Node::HandleStop(Now now) {
@@ -357,6 +383,7 @@
 // Everything that may close the gate runs before the gate dispatches work.
 void Node::Review(Now now) {
   m_next_review = now.m_time + kReviewInterval;
+  ReviewEra(now);
   RetryAppends(now);
   CastVotes(now);
   ReviewWatchers(now);
@@ -391,7 +418,7 @@
   const AppendId id{m_random()};
   m_appends[id] = {record, now.m_time + kInitialAppendBackoff,
                    kInitialAppendBackoff};
-  m_actions.emplace_back(AppendRecord{id, std::move(record)});
+  m_actions.emplace_back(AppendRecord{id, std::move(record), m_log_era});
 }
 
 // An append is confirmed only when it has been read back. Until then it is
@@ -403,7 +430,7 @@
     }
     append.m_backoff = std::min(2 * append.m_backoff, kMaxAppendBackoff);
     append.m_next_try = now.m_time + append.m_backoff;
-    m_actions.emplace_back(AppendRecord{id, append.m_record});
+    m_actions.emplace_back(AppendRecord{id, append.m_record, m_log_era});
   }
 }
 
@@ -417,8 +444,9 @@
       Heartbeat& heartbeat = heartbeats[watcher];
       heartbeat.m_member = m_settings.m_self.m_id;
       heartbeat.m_sent_at = now.m_time;
-      heartbeat.m_next = m_state.next();
+      heartbeat.m_next = ReadPosition();
       heartbeat.m_operators_next = m_operator_update.m_next;
+      heartbeat.m_configuration = ConfigurationVersion();
       (set.m_generation == m_generation ? heartbeat.m_generation
                                         : heartbeat.m_proposed) =
           set.m_generation;
@@ -527,7 +555,7 @@
     return;
   }
   std::map<MemberId, std::vector<SliceIndex>> by_owner;
-  ReleaseRecord record{m_settings.m_self.m_id, m_state.next() - 1, {}};
+  ReleaseRecord record{m_settings.m_self.m_id, m_state.position() - 1, {}};
   for (SliceIndex index : m_ownership.PendingReleases()) {
     if (MayBeInUse(now, index)) {
       continue;
@@ -561,7 +589,7 @@
   if (member == nullptr || m_identity_lost) {
     return;
   }
-  Release release{m_settings.m_self.m_id, m_state.next() - 1, {}};
+  Release release{m_settings.m_self.m_id, m_state.position() - 1, {}};
   for (SliceIndex index : slices) {
     if (m_ownership.IsReleasePending(index) && !MayBeInUse(now, index)) {
       release.m_slices.push_back(m_ownership.MakeRelease(index));
@@ -679,7 +707,7 @@
   }
 }
 
-bool Node::IsBehind(Now now, Offset next) const {
+bool Node::IsBehind(Now now, Position next) const {
   const auto it = std::ranges::find_if(
       m_progress_marks.rbegin(), m_progress_marks.rend(),
       [&](const ProgressMark& mark) {
--- a/core/src/node_target.cc
+++ b/core/src/node_target.cc
@@ -30,7 +30,7 @@
 constexpr Duration kBalanceInterval = std::chrono::milliseconds(1200);
 constexpr std::size_t kMaxBalanceSamples = 4;
 /// Max ranges of slices per member. The reply to a target's report has room for
-/// about 130 rows, and some are reserved for taking over another member's.
+/// about 110 rows, and some are reserved for taking over another member's.
 constexpr std::size_t kMaxSliceRanges = 100;
 /// Max requests that a gate queues when each request has its own max queue
 /// wait.
@@ -249,7 +249,8 @@
       !IsReader(now.m_time)) {
     return;
   }
-  const ReadReport report{m_settings.m_self.m_id, m_operator_update.m_next};
+  const ReadReport report{m_settings.m_self.m_id, m_operator_update.m_next,
+                          ConfigurationVersion()};
   ForEachDomainPeer([&](const Member& member) {
     m_actions.emplace_back(SendDatagram{member.m_info.m_peer, report});
   });
@@ -257,12 +258,13 @@
 
 void Node::On(Now now, const ReadReport& report) {
   m_reader_choice.OnReport(now.m_time, report.m_reader);
-  RequestOperatorUpdate(now, report.m_reader, report.m_operators_next);
+  RequestOperatorUpdate(now, report.m_reader, report.m_operators_next,
+                        report.m_configuration);
 }
 
 void Node::ForwardRecords(Now now, std::span<const LogEntry> entries) {
   if (m_settings.m_is_routed && !entries.empty()) {
-    ForwardToDomain(now, Records{{entries.begin(), entries.end()}});
+    ForwardToDomain(now, Records{m_log_era, {entries.begin(), entries.end()}});
   }
 }
 
@@ -275,11 +277,25 @@
   });
 }
 
+// A store that has been restored may have an older configuration than a peer,
+// at a newer position.
+bool Node::IsNewer(Position next, std::uint64_t configuration) const {
+  return next > m_operator_update.m_next ||
+         configuration > ConfigurationVersion();
+}
+
+std::uint64_t Node::ConfigurationVersion() const {
+  return m_routing == nullptr ? 0 : m_routing->version();
+}
+
 // A process whose reads the store rejects, or whose read has missed a record,
 // is behind its peers and asks one of them.
-void Node::RequestOperatorUpdate(Now now, MemberId peer, Offset peer_next) {
+void Node::RequestOperatorUpdate(Now now,
+                                 MemberId peer,
+                                 Position peer_next,
+                                 std::uint64_t peer_configuration) {
   const Member* member = m_state.FindMember(peer);
-  if (peer_next <= m_operator_update.m_next || member == nullptr ||
+  if (!IsNewer(peer_next, peer_configuration) || member == nullptr ||
       now.m_time < m_next_update_query) {
     return;
   }
@@ -296,7 +312,7 @@
 }
 
 void Node::On(Now, const OperatorUpdate& update) {
-  if (update.m_next > m_operator_update.m_next) {
+  if (IsNewer(update.m_next, update.m_version)) {
     m_actions.emplace_back(ApplyOperatorUpdate{update});
   }
 }
@@ -366,7 +382,7 @@
   const Service* service = m_state.FindService(m_settings.m_self.m_service);
   if (m_utilization < kHighUtilization || now.m_time < m_next_balance ||
       !m_log_healthy || self->m_draining || service == nullptr ||
-      m_ownership.has_pending_releases() ||
+      m_ownership.has_pending_releases() || !IsEraSettled() ||
       CountSliceRanges(*service, self->m_info.m_id) > kMaxSliceRanges) {
     return;
   }
@@ -383,8 +399,8 @@
     return;
   }
   m_next_balance = now.m_time + kBalanceInterval;
-  Append(now, MoveRecord{m_settings.m_self.m_id, move.m_to, m_state.next() - 1,
-                         std::move(move.m_slices)});
+  Append(now, MoveRecord{m_settings.m_self.m_id, move.m_to,
+                         m_state.position() - 1, std::move(move.m_slices)});
 }
 
 // Each owner considers only a random sample of the others; otherwise all
--- a/core/src/ownership.cc
+++ b/core/src/ownership.cc
@@ -17,8 +17,13 @@
     if (next == local.m_slice) {
       continue;
     }
-    CoverRemovedHolders(wall, i, next);
-    if (next.m_lost_at != local.m_slice.m_lost_at) {
+    local.m_is_continued &= next.m_owner == m_self;
+    if (local.m_is_continued) {
+      local.m_covered_loss = next.m_lost_at;
+    } else {
+      CoverRemovedHolders(wall, i, next);
+    }
+    if (next.m_lost_at != local.m_slice.m_lost_at && !local.m_is_continued) {
       local.m_lost_wall_time = wall;
       local.m_ready_at = now + takeover_wait;
     }
@@ -33,6 +38,26 @@
   }
 }
 
+// While this member holds its lease and has not released a slice, nobody else
+// can have been given it, by lost records either.
+void Ownership::OnRestored(Time now,
+                           const Service* service,
+                           bool is_lease_valid) {
+  static const std::vector<Slice> none;
+  const std::vector<Slice>& slices =
+      service == nullptr ? none : service->m_slices;
+  m_local.resize(std::max(m_local.size(), slices.size()));
+  for (SliceIndex i = 0; i < m_local.size(); ++i) {
+    const Slice next = i < slices.size() ? slices[i] : Slice{};
+    const bool was_ready =
+        is_lease_valid && StatusOf(now, i) == SliceStatus::kReady;
+    m_local[i].m_is_continued = was_ready && next.m_owner == m_self;
+    Classify(i, next);
+    m_local[i].m_slice = next;
+  }
+  m_released.clear();
+}
+
 // Only a few slices change owners at a time. They are kept in separate sets, so
 // that queries need not scan all slices.
 void Ownership::Classify(SliceIndex index, const Slice& next) {
@@ -82,6 +107,12 @@
   if (!IsOwn(local.m_slice)) {
     return SliceStatus::kNotOwner;
   }
+  if (local.m_is_continued) {
+    return SliceStatus::kReady;
+  }
+  if (m_may_have_unknown_holders) {
+    return SliceStatus::kWaiting;
+  }
   const bool is_released = std::ranges::all_of(
       local.m_slice.m_previous_holders, [&](const PreviousHolder& previous) {
         return HasReleased(slice, previous);
@@ -110,13 +141,13 @@
   return it != releases->second.end() && it->second >= previous.m_taken_at;
 }
 
-Offset Ownership::EpochOf(SliceIndex slice) const {
+Position Ownership::EpochOf(SliceIndex slice) const {
   return LocalOf(slice).m_slice.m_epoch;
 }
 
 // A release sent before the slice was last taken from the sender is outdated:
 // the sender may have served the slice again since. HasReleased compares the
-// offsets.
+// positions.
 void Ownership::OnRelease(const Release& release) {
   for (const ReleasedSlice& released : release.m_slices) {
     if (released.m_slice >= m_local.size()) {
@@ -126,8 +157,8 @@
     if (local.m_slice.m_owner != m_self) {
       continue;
     }
-    Offset& applied_offset = m_released[released.m_slice][release.m_from];
-    applied_offset = std::max(applied_offset, release.m_folded);
+    Position& applied = m_released[released.m_slice][release.m_from];
+    applied = std::max(applied, release.m_folded);
     local.m_covered_loss = std::max(local.m_covered_loss, released.m_lost_at);
     m_ids.Merge(released.m_slice, released.m_ids);
   }
--- a/core/src/record.cc
+++ b/core/src/record.cc
@@ -9,7 +9,7 @@
 constexpr std::array<std::string_view, std::variant_size_v<Record>> kNames = {
     "unreadable", "join",       "watchers", "vote",    "weight",
     "drain",      "leave",      "release",  "profile", "exclusion",
-    "force-down", "checkpoint", "move"};
+    "force-down", "checkpoint", "move",     "era",     "era-settled"};
 
 }  // namespace
 
--- a/core/src/state_change.cc
+++ b/core/src/state_change.cc
@@ -6,10 +6,10 @@
 namespace {
 
 constexpr std::array<std::string_view, kStateChangeKindCount> kEventNames = {
-    "record-folded",   "record-void",     "target-up",      "target-gone",
-    "target-draining", "target-replaced", "domains-out",    "lease-held",
-    "lease-lost",      "holds-changed",   "reader-started", "reader-stopped",
-    "target-limited",  "target-unlimited"};
+    "record-folded",   "record-void",      "target-up",      "target-gone",
+    "target-draining", "target-replaced",  "domains-out",    "lease-held",
+    "lease-lost",      "holds-changed",    "reader-started", "reader-stopped",
+    "target-limited",  "target-unlimited", "log-restored"};
 
 }  // namespace
 
--- a/core/src/target_holds.cc
+++ b/core/src/target_holds.cc
@@ -14,7 +14,8 @@
 constexpr Duration kMinHold = std::chrono::milliseconds(200);
 /// Bytes available for ranges in a reply of 4 KiB beside its other fields.
 constexpr std::size_t kMaxRangesBytes = 3600;
-constexpr std::size_t kBytesPerRange = 26;
+/// Two keys, a fence of 13 digits and the punctuation.
+constexpr std::size_t kBytesPerRange = 32;
 /// Length of a handover token including its quotes.
 constexpr std::size_t kHandoverBytes = 18;
 
@@ -97,7 +98,7 @@
       continue;
     }
     const Slice& slice = m_slices[i];
-    const Offset fence = ownership.EpochOf(i);
+    const Position fence = ownership.EpochOf(i);
     if (!ranges.empty() && ranges.back().m_last + 1 == i &&
         ranges.back().m_fence == fence &&
         ranges.back().m_handover == slice.m_handover &&
--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -46,7 +46,7 @@
   /// \brief Starts the node, applies the records and sets the routing.
   void Start(const std::vector<LogEntry>& log = {}) {
     m_log = log;
-    m_node.OnStart(At(), ControlState(), Sink());
+    m_node.OnStart(At(), 0, ControlState(), Sink());
     m_node.OnLogHealth(At(), true);
     m_node.OnRecords(At(), m_log, Sink());
     m_node.OnCaughtUp(At(), Sink());
--- a/core/tests/simulation.cc
+++ b/core/tests/simulation.cc
@@ -131,7 +131,7 @@
   }
   m_processes[process].m_is_following = true;
   Deliver(process, [&](Node& node, Now now, auto sink) {
-    node.OnStart(now, newest == nullptr ? ControlState() : *newest->m_state,
+    node.OnStart(now, 0, newest == nullptr ? ControlState() : *newest->m_state,
                  sink);
   });
 }
@@ -319,6 +319,8 @@
   }
 }
 
+void Simulation::Handle(std::size_t, ReloadLog&&) {}
+
 void Simulation::Handle(std::size_t from, IdentityLost&&) {
   const auto id = MemberId(m_random() | 1);
   Deliver(from, [&](Node& node, Now now, auto sink) {
--- a/core/tests/simulation.h
+++ b/core/tests/simulation.h
@@ -126,6 +126,7 @@
   void Handle(std::size_t from, FinishCall&& action);
   void Handle(std::size_t, ApplyOperatorUpdate&&) {}
   void Handle(std::size_t, StateChanged&&) {}
+  void Handle(std::size_t, ReloadLog&& action);
   void Handle(std::size_t from, IdentityLost&& action);
   void Handle(std::size_t from, ReadyToStop&& action);
   void EndAttempt(const WorkOrigin& origin, Outcome outcome, Reason reason);
--- a/examples/core_example.cc
+++ b/examples/core_example.cc
@@ -25,7 +25,7 @@
     }
   };
   node.OnTargetHealth(now, true, handle_action);
-  node.OnStart(now, ControlState(), handle_action);
+  node.OnStart(now, 0, ControlState(), handle_action);
   node.OnCaughtUp(now, handle_action);
   for (int i = 0; i < 5; ++i) {
     now.m_time += std::chrono::milliseconds(100);
--- a/runtime/include/figlug/runtime/adjustable_timer.h
+++ b/runtime/include/figlug/runtime/adjustable_timer.h
@@ -26,6 +26,7 @@
   /// \brief Starts or restarts the timer.
   /// \param min_delay Lower bound of the delay.
   void Start(core::Duration min_delay);
+  void Cancel() noexcept { m_timer.Cancel(); }
 
  private:
   void Check();
--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -144,6 +144,7 @@
   void Perform(core::FinishCall&& action);
   void Perform(core::ApplyOperatorUpdate&& action);
   void Perform(core::StateChanged&& action);
+  void Perform(core::ReloadLog&& action);
   void Perform(core::IdentityLost&& action);
   void Perform(core::ReadyToStop&& action);
 
--- a/runtime/include/figlug/runtime/http_log_client.h
+++ b/runtime/include/figlug/runtime/http_log_client.h
@@ -16,7 +16,7 @@
  public:
   HttpLogClient(EventLoop& loop, const core::Endpoint& to);
 
-  void Append(core::AppendId id, const core::Record& record);
+  void Append(core::AppendId id, const core::Record& record, core::Era era);
   void Read(core::Offset from, core::Duration wait, PageHandler on_page);
 
  private:
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -146,9 +146,18 @@
 LogFollowerHandlers Daemon<Log, DialectType>::MakeLogHandlers() {
   return {
       .m_on_start =
-          [this](core::ControlState&& state) {
+          [this](core::Era era, core::ControlState&& state) {
             HandleEvent([&](core::Now now, auto& sink) {
-              m_node.OnStart(now, std::move(state), sink);
+              m_node.OnStart(now, era, std::move(state), sink);
+            });
+          },
+      .m_on_restored =
+          [this](core::Era era, core::ControlState&& state) {
+            LOG4CPLUS_WARN(RecordLogger(),
+                           "log has been restored from a copy, era "
+                               << era << "; its newest records are lost");
+            HandleEvent([&](core::Now now, auto& sink) {
+              m_node.OnRestored(now, era, std::move(state), sink);
             });
           },
       .m_on_records =
@@ -516,7 +525,7 @@
 
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::Perform(core::AppendRecord&& action) {
-  m_log.Append(action.m_id, action.m_record);
+  m_log.Append(action.m_id, action.m_record, action.m_era);
 }
 
 template <LogService Log, Dialect DialectType>
@@ -690,6 +699,11 @@
                      {"count", action.m_count}});
 }
 
+template <LogService Log, Dialect DialectType>
+void Daemon<Log, DialectType>::Perform(core::ReloadLog&&) {
+  m_follower.Reload();
+}
+
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::Perform(core::IdentityLost&&) {
   const core::MemberId id = NewMemberId();
--- a/runtime/include/figlug/runtime/log_follower.h
+++ b/runtime/include/figlug/runtime/log_follower.h
@@ -2,7 +2,10 @@
 #define FIGLUG_RUNTIME_LOG_FOLLOWER_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
+#include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -15,8 +18,12 @@
 
 /// \brief Callbacks of a log follower.
 struct LogFollowerHandlers {
-  /// Receives the initial state, before any record.
-  std::function<void(core::ControlState&&)> m_on_start;
+  /// Receives the initial state, before any record, and the era that it was
+  /// read in.
+  std::function<void(core::Era, core::ControlState&&)> m_on_start;
+  /// Receives the state of a log that has been restored from a copy, with all
+  /// records that it had then.
+  std::function<void(core::Era, core::ControlState&&)> m_on_restored;
   std::function<void(const std::vector<core::LogEntry>&)> m_on_records;
   /// All records that were in the log at the last read have been delivered.
   std::function<void()> m_on_caught_up;
@@ -54,8 +61,18 @@
     ResetState();
     Retry();
   }
+  /// \brief Reads the state again, because the log is said to have been
+  /// restored from a copy. The former state stays in use until the new one is
+  /// complete.
+  void Reload() {
+    if (m_phase == Phase::kFollowing) {
+      StartRestore();
+    }
+  }
 
  private:
+  enum class Phase : std::uint8_t { kStarting, kFollowing, kRestoring };
+
   static constexpr core::Duration kLongPollTimeout = std::chrono::seconds(3);
   static constexpr core::Duration kInitialBackoff =
       std::chrono::milliseconds(200);
@@ -73,17 +90,36 @@
   }
 
   void ResetState() {
-    m_has_state = false;
+    m_phase = Phase::kStarting;
+    ResetScan();
+  }
+
+  void ResetScan() {
     m_scanned.clear();
     m_scan_from = 0;
   }
 
+  // The read that is in flight, if any, is superseded.
+  void StartRestore() {
+    ++m_read_number;
+    m_retry.Cancel();
+    m_pause.Cancel();
+    m_phase = Phase::kRestoring;
+    m_restored.reset();
+    ResetScan();
+    Retry();
+  }
+
   void Retry() {
     if constexpr (CheckpointStore<Log>) {
-      if (!m_has_state) {
-        m_log.ReadCheckpoint([this](CheckpointReply&& reply) {
-          OnCheckpointRead(std::move(reply));
-        });
+      if (m_phase == Phase::kStarting ||
+          (m_phase == Phase::kRestoring && !m_restored)) {
+        m_log.ReadCheckpoint(
+            [this, number = ++m_read_number](CheckpointReply&& reply) {
+              if (number == m_read_number) {
+                OnCheckpointRead(std::move(reply));
+              }
+            });
         return;
       }
     }
@@ -97,41 +133,91 @@
       return;
     }
     m_backoff = kInitialBackoff;
-    m_has_state = true;
-    m_handlers.m_on_start(reply.m_state == nullptr
-                              ? core::ControlState()
-                              : core::ControlState(*reply.m_state));
+    m_era = std::max(m_era, reply.m_era);
+    core::ControlState state = reply.m_state == nullptr
+                                   ? core::ControlState()
+                                   : core::ControlState(*reply.m_state);
+    if (m_phase == Phase::kRestoring) {
+      m_restored = std::move(state);
+    } else {
+      m_phase = Phase::kFollowing;
+      m_handlers.m_on_start(m_era, std::move(state));
+    }
     Read();
   }
 
+  [[nodiscard]] core::Offset NextOffset() const {
+    if (m_phase == Phase::kFollowing) {
+      return m_handlers.m_next();
+    }
+    return m_restored ? m_restored->next() : m_scan_from;
+  }
+
   void Read() {
-    const core::Offset from = m_has_state ? m_handlers.m_next() : m_scan_from;
-    const bool waits = m_has_state && m_handlers.m_pause() == core::Duration{};
+    const core::Offset from = NextOffset();
+    const bool waits = m_phase == Phase::kFollowing &&
+                       m_handlers.m_pause() == core::Duration{};
     const core::Duration wait =
         waits ? kLongPollTimeout : core::Duration::zero();
-    m_log.Read(from, wait, [this, from](std::optional<wire::LogPage>&& page) {
-      OnPage(from, std::move(page));
-    });
+    m_log.Read(from, wait,
+               [this, from,
+                number = ++m_read_number](std::optional<wire::LogPage>&& page) {
+                 if (number == m_read_number) {
+                   OnPage(from, std::move(page));
+                 }
+               });
   }
 
   void OnPage(core::Offset from, std::optional<wire::LogPage>&& page) {
     m_handlers.m_on_health(page.has_value());
-    if (!page) {
+    // A page of an earlier era was on its way when the log was restored.
+    if (!page || page->m_era < m_era) {
       ScheduleRetry();
       return;
     }
+    if (IsRestored(from, *page)) {
+      m_era = page->m_era;
+      StartRestore();
+      return;
+    }
     m_backoff = kInitialBackoff;
     std::vector<core::LogEntry> entries;
     entries.reserve(page->m_entries.size());
     for (const wire::RawEntry& raw : page->m_entries) {
       entries.push_back(wire::ParseRecord(raw.m_offset, raw.m_data));
     }
-    if (!m_has_state) {
-      OnScanPage(*page, std::move(entries));
-      return;
+    switch (m_phase) {
+      case Phase::kFollowing:
+        OnNewRecords(from, *page, entries);
+        break;
+      case Phase::kRestoring:
+        if (m_restored) {
+          OnRestoredRecords(from, *page, entries);
+          break;
+        }
+        [[fallthrough]];
+      case Phase::kStarting:
+        OnScanPage(*page, std::move(entries));
+        break;
     }
+  }
+
+  // A log that ends before the requested offset has lost records, whether or
+  // not it says so by its era.
+  [[nodiscard]] bool IsRestored(core::Offset from,
+                                const wire::LogPage& page) const {
+    if (m_phase == Phase::kFollowing) {
+      return page.m_era > m_era || (page.m_next < from && page.m_first <= from);
+    }
+    const bool has_read_any = m_restored || m_scan_from > 0;
+    return has_read_any && page.m_era > m_era;
+  }
+
+  void OnNewRecords(core::Offset from,
+                    const wire::LogPage& page,
+                    const std::vector<core::LogEntry>& entries) {
     // A peer may meanwhile have supplied the records that the log has trimmed.
-    if (page->m_first > from && page->m_first > m_handlers.m_next()) {
+    if (page.m_first > from && page.m_first > m_handlers.m_next()) {
       m_handlers.m_on_gap();
       ResetState();
       ScheduleRetry();
@@ -140,8 +226,8 @@
     if (!entries.empty()) {
       m_handlers.m_on_records(entries);
     }
-    m_handlers.m_on_bounds(page->m_first);
-    if (m_handlers.m_next() >= page->m_next) {
+    m_handlers.m_on_bounds(page.m_first);
+    if (m_handlers.m_next() >= page.m_next) {
       m_handlers.m_on_caught_up();
     }
     if constexpr (CheckpointStore<Log>) {
@@ -153,11 +239,47 @@
     }
   }
 
+  // Applies records to the state that is being rebuilt. A checkpoint that the
+  // log's records do not reach, or no longer follow, cannot be continued.
+  void OnRestoredRecords(core::Offset from,
+                         const wire::LogPage& page,
+                         const std::vector<core::LogEntry>& entries) {
+    if (page.m_first > from || page.m_next < from) {
+      m_restored.reset();
+      ScheduleRetry();
+      return;
+    }
+    ApplyToRestored(entries);
+    if (m_restored->next() < page.m_next) {
+      Read();
+      return;
+    }
+    FinishRestore(page.m_first);
+  }
+
+  void ApplyToRestored(std::span<const core::LogEntry> entries) {
+    for (const core::LogEntry& entry : entries) {
+      if (entry.m_offset == m_restored->next()) {
+        m_restored->Apply(entry);
+      }
+    }
+  }
+
+  void FinishRestore(core::Offset first) {
+    m_phase = Phase::kFollowing;
+    m_handlers.m_on_restored(m_era, std::move(*m_restored));
+    m_restored.reset();
+    m_handlers.m_on_bounds(first);
+    m_handlers.m_on_caught_up();
+    Read();
+  }
+
   // Collects all retained records until the end of the log, so that
   // StartFromScan can pick the newest checkpoint. Starts over if the log trims
   // records during the scan.
   void OnScanPage(const wire::LogPage& page,
                   std::vector<core::LogEntry>&& entries) {
+    m_era = page.m_era;
     if (m_scan_from < page.m_first) {
       m_scanned.clear();
       m_scan_from = page.m_first;
@@ -193,10 +315,18 @@
       ScheduleRetry();
       return;
     }
-    m_has_state = true;
-    m_handlers.m_on_start(newest == nullptr
-                              ? core::ControlState()
-                              : core::ControlState(*newest->m_state));
+    core::ControlState state = newest == nullptr
+                                   ? core::ControlState()
+                                   : core::ControlState(*newest->m_state);
+    if (m_phase == Phase::kRestoring) {
+      m_restored = std::move(state);
+      ApplyToRestored(m_scanned);
+      ResetScan();
+      FinishRestore(first);
+      return;
+    }
+    m_phase = Phase::kFollowing;
+    m_handlers.m_on_start(m_era, std::move(state));
     m_handlers.m_on_records(m_scanned);
     m_scanned.clear();
     m_handlers.m_on_caught_up();
@@ -208,7 +338,13 @@
   Timer m_retry;
   AdjustableTimer m_pause;
   core::Duration m_backoff = kInitialBackoff;
-  bool m_has_state = false;
+  Phase m_phase = Phase::kStarting;
+  /// Era of the pages read last.
+  core::Era m_era = 0;
+  /// Number of the newest read; the replies of earlier ones are ignored.
+  std::uint64_t m_read_number = 0;
+  /// The state that is being rebuilt from a restored log.
+  std::optional<core::ControlState> m_restored;
   core::Offset m_scan_from = 0;
   std::vector<core::LogEntry> m_scanned;
 };
--- a/runtime/include/figlug/runtime/log_service.h
+++ b/runtime/include/figlug/runtime/log_service.h
@@ -21,16 +21,19 @@
 /// \brief A client of the append-only log, independent of its protocol.
 ///
 /// Append sends the record once and reports no result: the caller learns
-/// whether it took effect by reading the log. Read returns records starting at
-/// an offset and may wait up to a given time for the first of them.
+/// whether it took effect by reading the log. A record that was decided in an
+/// earlier era of the log than the client knows is dropped. Read returns
+/// records starting at an offset and may wait up to a given time for the first
+/// of them; a page names the era that it was read in.
 template <class T>
 concept LogService = requires(T log,
                               core::AppendId id,
                               const core::Record& record,
+                              core::Era era,
                               core::Offset from,
                               core::Duration wait,
                               PageHandler on_page) {
-  log.Append(id, record);
+  log.Append(id, record, era);
   log.Read(from, wait, on_page);
 };
 
@@ -40,6 +43,8 @@
   bool m_has_reply = false;
   /// Unset when there is no checkpoint.
   std::shared_ptr<const core::ControlState> m_state;
+  /// Era of the log that it was read in.
+  core::Era m_era = 0;
 };
 using CheckpointHandler = std::function<void(CheckpointReply&&)>;
 
--- a/runtime/include/figlug/runtime/operator_session.h
+++ b/runtime/include/figlug/runtime/operator_session.h
@@ -56,6 +56,8 @@
   EventLoop& m_loop;
   HttpLogClient m_log;
   core::ControlState m_state;
+  /// Era of the log that the state was read in.
+  core::Era m_era = 0;
   bool m_is_loaded = false;
   core::AppendId m_append{0};
   core::Record m_record;
--- a/runtime/src/http_log_client.cc
+++ b/runtime/src/http_log_client.cc
@@ -24,7 +24,9 @@
 
 // The reply is ignored: the record's effect shows when the log is read and its
 // records are applied.
-void HttpLogClient::Append(core::AppendId id, const core::Record& record) {
+void HttpLogClient::Append(core::AppendId id,
+                           const core::Record& record,
+                           core::Era) {
   m_appends.Send({"POST",
                   "/v1/records",
                   {{"Content-Type", "application/octet-stream"}},
--- a/runtime/src/operator_session.cc
+++ b/runtime/src/operator_session.cc
@@ -24,7 +24,13 @@
       m_follower(loop,
                  m_log,
                  {.m_on_start =
-                      [this](core::ControlState&& state) {
+                      [this](core::Era era, core::ControlState&& state) {
+                        m_era = era;
+                        m_state = std::move(state);
+                      },
+                  .m_on_restored =
+                      [this](core::Era era, core::ControlState&& state) {
+                        m_era = era;
                         m_state = std::move(state);
                       },
                   .m_on_records =
@@ -86,7 +92,7 @@
 // The append or its reply may be lost, so the record is sent again with the
 // same id until it has been read back.
 void OperatorSession::SendRecord() {
-  m_log.Append(m_append, m_record);
+  m_log.Append(m_append, m_record, m_era);
   m_resend_timer.Set(kResendInterval);
 }
 
--- a/wire/include/figlug/wire/log_codec.h
+++ b/wire/include/figlug/wire/log_codec.h
@@ -26,6 +26,8 @@
   /// Offset that the next append will get.
   core::Offset m_next = 0;
   std::vector<RawEntry> m_entries;
+  /// Number of times that the log has been restored from a copy.
+  core::Era m_era = 0;
 };
 
 /// \brief Encodes a record with its append id.
--- a/wire/schema/log.capnp
+++ b/wire/schema/log.capnp
@@ -89,6 +89,8 @@
   exclusionsVersion @5 :UInt64;
   recentAppends @6 :List(UInt64);
   goneWatchers @7 :List(UInt64);
+  era @8 :UInt32;
+  isEraUnsettled @9 :Bool;
 }
 
 struct Record {
@@ -141,6 +143,11 @@
       folded @28 :UInt64;
       slices @29 :List(UInt32);
     }
+    era :group {
+      era @30 :UInt32;
+      followsRestore @31 :Bool;
+    }
+    eraSettled @32 :UInt32;
   }
 }
 
@@ -154,4 +161,6 @@
   firstOffset @0 :UInt64;
   nextOffset @1 :UInt64;
   entries @2 :List(RawEntry);
+  # Number of times that the log has been restored from a copy.
+  era @3 :UInt32;
 }
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -14,6 +14,7 @@
       sentAtUs @3 :Int64;
       next @4 :UInt64;
       operatorsNext @12 :UInt64;
+      configuration @16 :UInt64;
     }
     ack :group {
       watcher @5 :UInt64;
@@ -24,10 +25,12 @@
       next @10 :UInt64;
       isPledge @11 :Bool;
       operatorsNext @13 :UInt64;
+      configuration @17 :UInt64;
     }
     readReport :group {
       reader @14 :UInt64;
       operatorsNext @15 :UInt64;
+      configuration @18 :UInt64;
     }
   }
 }
@@ -101,12 +104,16 @@
       from @16 :UInt64;
       next @17 :UInt64;
     }
-    records @18 :List(Log.RawEntry);
+    records :group {
+      entries @18 :List(Log.RawEntry);
+      era @26 :UInt32;
+    }
     operatorNewsQuery @20 :UInt64;
     operatorNews :group {
       next @21 :UInt64;
       configuration @22 :Data;
       domainsOut @23 :List(Text);
+      version @27 :UInt64;
     }
     # Ask whether the connection still carries data, and the answer.
     probe @24 :Void;
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -62,6 +62,7 @@
 void Write(schema::Frame::OperatorNews::Builder out,
            const core::OperatorUpdate& update) {
   out.setNext(update.m_next);
+  out.setVersion(update.m_version);
   out.setConfiguration(kj::arrayPtr(
       reinterpret_cast<const kj::byte*>(update.m_configuration.data()),
       update.m_configuration.size()));
@@ -112,7 +113,9 @@
     Write(m_out.initOperatorNews(), update);
   }
   void operator()(const core::Records& records) {
-    auto out = m_out.initRecords(Size(records.m_entries));
+    auto group = m_out.initRecords();
+    group.setEra(records.m_era);
+    auto out = group.initEntries(Size(records.m_entries));
     for (unsigned i = 0; i < out.size(); ++i) {
       const core::LogEntry& entry = records.m_entries[i];
       const std::string data = EncodeRecord(entry.m_append_id, entry.m_record);
@@ -134,6 +137,7 @@
     out.setSentAtUs(heartbeat.m_sent_at.time_since_epoch().count());
     out.setNext(heartbeat.m_next);
     out.setOperatorsNext(heartbeat.m_operators_next);
+    out.setConfiguration(heartbeat.m_configuration);
   }
   void operator()(const core::HeartbeatAck& ack) {
     auto out = m_out.initAck();
@@ -145,11 +149,13 @@
     out.setNext(ack.m_next);
     out.setIsPledge(ack.m_is_pledge);
     out.setOperatorsNext(ack.m_operators_next);
+    out.setConfiguration(ack.m_configuration);
   }
   void operator()(const core::ReadReport& report) {
     auto out = m_out.initReadReport();
     out.setReader(Raw(report.m_reader));
     out.setOperatorsNext(report.m_operators_next);
+    out.setConfiguration(report.m_configuration);
   }
 };
 
@@ -161,11 +167,13 @@
                            in.getProposed(),
                            Time(Duration(in.getSentAtUs())),
                            in.getNext(),
-                           in.getOperatorsNext()};
+                           in.getOperatorsNext(),
+                           in.getConfiguration()};
   }
   if (root.isReadReport()) {
     const auto in = root.getReadReport();
-    return core::ReadReport{MemberId(in.getReader()), in.getOperatorsNext()};
+    return core::ReadReport{MemberId(in.getReader()), in.getOperatorsNext(),
+                            in.getConfiguration()};
   }
   const auto in = root.getAck();
   return core::HeartbeatAck{MemberId(in.getWatcher()),
@@ -175,7 +183,8 @@
                             Time(Duration(in.getSentAtUs())),
                             in.getIsPledge(),
                             in.getNext(),
-                            in.getOperatorsNext()};
+                            in.getOperatorsNext(),
+                            in.getConfiguration()};
 }
 
 struct FrameWriter {
@@ -288,9 +297,9 @@
   return query;
 }
 
-core::PeerMessage ReadRecords(capnp::List<schema::RawEntry>::Reader in) {
-  core::Records records;
-  for (auto entry : in) {
+core::PeerMessage ReadRecords(schema::Frame::Records::Reader in) {
+  core::Records records{.m_era = in.getEra(), .m_entries = {}};
+  for (auto entry : in.getEntries()) {
     const auto data = entry.getData();
     records.m_entries.push_back(ParseRecord(
         entry.getOffset(),
@@ -300,7 +309,8 @@
 }
 
 core::PeerMessage ReadOperatorUpdate(schema::Frame::OperatorNews::Reader in) {
-  core::OperatorUpdate update{.m_next = in.getNext()};
+  core::OperatorUpdate update{.m_next = in.getNext(),
+                              .m_version = in.getVersion()};
   const auto bytes = in.getConfiguration();
   update.m_configuration = {reinterpret_cast<const char*>(bytes.begin()),
                             bytes.size()};
--- a/wire/src/log_codec.cc
+++ b/wire/src/log_codec.cc
@@ -204,6 +204,8 @@
 
 void Write(schema::ControlState::Builder out, const core::ControlState& state) {
   out.setNext(state.next());
+  out.setEra(state.era());
+  out.setIsEraUnsettled(!state.is_era_settled());
   auto members = out.initMembers(Size(state.members()));
   unsigned i = 0;
   for (const auto& [id, member] : state.members()) {
@@ -257,6 +259,8 @@
 core::ControlState Read(schema::ControlState::Reader in) {
   core::ControlState::Snapshot snapshot;
   snapshot.m_next = in.getNext();
+  snapshot.m_era = in.getEra();
+  snapshot.m_is_era_settled = !in.getIsEraUnsettled();
   for (auto member : in.getMembers()) {
     snapshot.m_members[MemberId(member.getInfo().getId())] = Read(member);
   }
@@ -350,6 +354,14 @@
     move.setFolded(record.m_folded);
     WriteSlices(move.initSlices(Size(record.m_slices)), record.m_slices);
   }
+  void operator()(const core::EraRecord& record) {
+    auto era = m_out.initEra();
+    era.setEra(record.m_era);
+    era.setFollowsRestore(record.m_follows_restore);
+  }
+  void operator()(const core::EraSettledRecord& record) {
+    m_out.setEraSettled(record.m_era);
+  }
   void operator()(const core::CheckpointRecord& record) {
     auto checkpoint = m_out.initCheckpoint();
     checkpoint.setNext(record.m_next);
@@ -412,6 +424,11 @@
       return core::MoveRecord{
           MemberId(in.getMove().getFrom()), MemberId(in.getMove().getTo()),
           in.getMove().getFolded(), ReadSlices(in.getMove().getSlices())};
+    case schema::Record::ERA:
+      return core::EraRecord{in.getEra().getEra(),
+                             in.getEra().getFollowsRestore()};
+    case schema::Record::ERA_SETTLED:
+      return core::EraSettledRecord{in.getEraSettled()};
   }
   return core::UnreadableRecord{};
 }
@@ -444,6 +461,7 @@
   auto root = message.initRoot<schema::ReadReply>();
   root.setFirstOffset(page.m_first);
   root.setNextOffset(page.m_next);
+  root.setEra(page.m_era);
   auto entries = root.initEntries(Size(page.m_entries));
   for (unsigned i = 0; i < entries.size(); ++i) {
     const std::string& data = page.m_entries[i].m_data;
@@ -457,7 +475,7 @@
 tl::expected<LogPage, WireError> ParseLogPage(std::string_view bytes) {
   return impl::ReadMessage<schema::ReadReply>(
       bytes, [](schema::ReadReply::Reader in) {
-        LogPage page{in.getFirstOffset(), in.getNextOffset(), {}};
+        LogPage page{in.getFirstOffset(), in.getNextOffset(), {}, in.getEra()};
         for (auto entry : in.getEntries()) {
           const auto data = entry.getData();
           page.m_entries.push_back(
