Serve slices that move soon after the log was restored

Callers saw requests for keys refused for up to six seconds when planned work moved them soon after a restore: the new owner waited until the era was settled, though the old one had held the keys without a gap.

Change: a release says whether its sender knew that nobody else held the slice; the new owner is then ready at once. A release is sent to the owner only, and one from another era is ignored: a member that owns the slice by records that the log has lost would take it for its own.

--- a/core/include/figlug/core/messages.h
+++ b/core/include/figlug/core/messages.h
@@ -74,6 +74,9 @@
   SliceRequestIds m_ids;
   /// Handover token of the previous holder's target; empty for none.
   std::string m_handover;
+  /// Whether the previous holder knows that nobody held the slice beside it, by
+  /// records that the log has lost either.
+  bool m_was_exclusive = false;
 };
 
 /// \brief A previous owner's confirmation that it no longer serves slices.
--- a/core/include/figlug/core/ownership.h
+++ b/core/include/figlug/core/ownership.h
@@ -46,7 +46,8 @@
   /// the slices that were ready and are still its own stay ready.
   void OnRestored(Time now, const Service* service, bool is_lease_valid);
   /// \brief Sets whether holders that only lost records had named may be left.
-  /// Until then only slices that stayed ready are.
+  /// Until then only slices that stayed ready, or were released by a member at
+  /// which they had, are ready.
   void set_may_have_unknown_holders(bool may_have) noexcept {
     m_may_have_unknown_holders = may_have;
   }
@@ -88,6 +89,11 @@
     /// Whether the slice was ready when the log was restored and has been this
     /// member's own since.
     bool m_is_continued = false;
+    /// Whether nobody can hold the slice by records that the log has lost: it
+    /// is continued, or was released by a member that knew so.
+    bool m_is_exclusive = false;
+    /// The same when this member last owned the slice.
+    bool m_was_exclusive = false;
     WallTime m_lost_wall_time{};
     Time m_ready_at{};
   };
@@ -99,6 +105,7 @@
   /// \brief Raises the request id barrier for previous holders that have been
   /// removed without a release.
   void CoverRemovedHolders(WallTime wall, SliceIndex index, const Slice& next);
+  void TrackExclusiveness(LocalSlice& local, const Slice& next) const;
   void Classify(SliceIndex index, const Slice& next);
   /// \brief Local state of a slice; an unowned slice if the index is unknown.
   [[nodiscard]] const LocalSlice& LocalOf(SliceIndex slice) const;
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -316,7 +316,11 @@
   SendRelease(now, query.m_from, query.m_slices);
 }
 
+// A release from another era refers to records that this member does not have.
 void Node::On(Now now, const Release& release) {
+  if (EraOf(release.m_folded) != m_state.era()) {
+    return;
+  }
   m_ownership.OnRelease(release);
   for (const ReleasedSlice& released : release.m_slices) {
     if (!released.m_handover.empty() && m_ownership.IsOwner(released.m_slice)) {
@@ -582,16 +586,20 @@
   Append(now, std::move(record));
 }
 
+// Only the owner is told: a member that owns the slice by records that the log
+// has lost must not take it for its own.
 void Node::SendRelease(Now now,
                        MemberId to,
                        std::span<const SliceIndex> slices) {
   const Member* member = m_state.FindMember(to);
-  if (member == nullptr || m_identity_lost) {
+  const Service* service = m_state.FindService(m_settings.m_self.m_service);
+  if (member == nullptr || service == nullptr || m_identity_lost) {
     return;
   }
   Release release{m_settings.m_self.m_id, m_state.position() - 1, {}};
   for (SliceIndex index : slices) {
-    if (m_ownership.IsReleasePending(index) && !MayBeInUse(now, index)) {
+    if (m_ownership.IsReleasePending(index) &&
+        service->m_slices[index].m_owner == to && !MayBeInUse(now, index)) {
       release.m_slices.push_back(m_ownership.MakeRelease(index));
       release.m_slices.back().m_handover = m_holds.HandoverOf(index);
     }
--- a/core/src/ownership.cc
+++ b/core/src/ownership.cc
@@ -17,7 +17,7 @@
     if (next == local.m_slice) {
       continue;
     }
-    local.m_is_continued &= next.m_owner == m_self;
+    TrackExclusiveness(local, next);
     if (local.m_is_continued) {
       local.m_covered_loss = next.m_lost_at;
     } else {
@@ -38,6 +38,22 @@
   }
 }
 
+// What a former owner knew goes with its release; a new owner learns it from
+// the releases of its own epoch.
+void Ownership::TrackExclusiveness(LocalSlice& local, const Slice& next) const {
+  const bool was_own = IsOwn(local.m_slice);
+  if (was_own && next.m_owner != m_self) {
+    local.m_was_exclusive = local.m_is_exclusive;
+  }
+  local.m_is_continued &= next.m_owner == m_self;
+  if (!local.m_is_continued && next.m_epoch != local.m_slice.m_epoch) {
+    local.m_is_exclusive = false;
+  }
+  if (!IsOwn(next) && !IsPreviousHolder(next)) {
+    local.m_was_exclusive = false;
+  }
+}
+
 // While this member holds its lease and has not released a slice, nobody else
 // can have been given it, by lost records either.
 void Ownership::OnRestored(Time now,
@@ -51,9 +67,12 @@
     const Slice next = i < slices.size() ? slices[i] : Slice{};
     const bool was_ready =
         is_lease_valid && StatusOf(now, i) == SliceStatus::kReady;
-    m_local[i].m_is_continued = was_ready && next.m_owner == m_self;
+    LocalSlice& local = m_local[i];
+    local.m_is_continued = was_ready && next.m_owner == m_self;
+    local.m_is_exclusive = local.m_is_continued;
+    local.m_was_exclusive = false;
     Classify(i, next);
-    m_local[i].m_slice = next;
+    local.m_slice = next;
   }
   m_released.clear();
 }
@@ -110,7 +129,7 @@
   if (local.m_is_continued) {
     return SliceStatus::kReady;
   }
-  if (m_may_have_unknown_holders) {
+  if (m_may_have_unknown_holders && !local.m_is_exclusive) {
     return SliceStatus::kWaiting;
   }
   const bool is_released = std::ranges::all_of(
@@ -160,6 +179,13 @@
     Position& applied = m_released[released.m_slice][release.m_from];
     applied = std::max(applied, release.m_folded);
     local.m_covered_loss = std::max(local.m_covered_loss, released.m_lost_at);
+    local.m_is_exclusive |=
+        released.m_was_exclusive &&
+        std::ranges::any_of(local.m_slice.m_previous_holders,
+                            [&](const PreviousHolder& previous) {
+                              return previous.m_member == release.m_from &&
+                                     previous.m_taken_at <= release.m_folded;
+                            });
     m_ids.Merge(released.m_slice, released.m_ids);
   }
 }
@@ -188,7 +214,12 @@
 }
 
 ReleasedSlice Ownership::MakeRelease(SliceIndex slice) const {
-  return {slice, LocalOf(slice).m_covered_loss, m_ids.Find(slice)};
+  const LocalSlice& local = LocalOf(slice);
+  return {
+      .m_slice = slice,
+      .m_lost_at = local.m_covered_loss,
+      .m_ids = m_ids.Find(slice),
+      .m_was_exclusive = !m_may_have_unknown_holders || local.m_was_exclusive};
 }
 
 std::map<MemberId, std::vector<SliceIndex>> Ownership::AwaitedReleases() const {
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -70,6 +70,7 @@
   unknownBeforeMs @2 :Int64;
   ids @3 :List(RequestId);
   handover @4 :Text;
+  wasExclusive @5 :Bool;
 }
 
 struct Frame {
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -99,6 +99,7 @@
       if (!slice.m_handover.empty()) {
         slices[i].setHandover(slice.m_handover);
       }
+      slices[i].setWasExclusive(slice.m_was_exclusive);
     }
   }
   void operator()(const core::RecordsQuery& query) {
@@ -277,8 +278,11 @@
 core::PeerMessage ReadRelease(schema::Frame::Release::Reader in) {
   core::Release release{MemberId(in.getFrom()), in.getFolded(), {}};
   for (auto slice : in.getSlices()) {
-    core::ReleasedSlice out{
-        slice.getSlice(), slice.getLostAt(), {}, Text(slice.getHandover())};
+    core::ReleasedSlice out{slice.getSlice(),
+                            slice.getLostAt(),
+                            {},
+                            Text(slice.getHandover()),
+                            slice.getWasExclusive()};
     out.m_ids.m_unknown_before =
         core::WallTime(std::chrono::milliseconds(slice.getUnknownBeforeMs()));
     for (auto id : slice.getIds()) {
