Rebuild the state only when the log names a later era

A page that ends before the requested offset may be outdated, and a state that is rebuilt from it would go back without a new fence: a member would take slices for its own that have moved since. It is read again after a pause. A member of an earlier era is told of the later one however long it lags behind; the check for stale readers came first and hid it after three seconds.

--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -243,7 +243,9 @@
 // removed. Its heartbeats are not acknowledged, so that its lease expires.
 void Node::On(Now now, const Heartbeat& heartbeat) {
   RequestReload(now, heartbeat.m_next);
-  if (m_identity_lost || IsBehind(now, heartbeat.m_next)) {
+  const bool is_of_earlier_era = EraOf(heartbeat.m_next) < m_log_era;
+  if (m_identity_lost ||
+      (!is_of_earlier_era && IsBehind(now, heartbeat.m_next))) {
     return;
   }
   const Member* member = m_state.FindMember(heartbeat.m_member);
@@ -262,7 +264,7 @@
       .m_configuration = ConfigurationVersion()};
   // The member holds what lost records had given it. It is told, and its lease
   // expires unless it reads the log again.
-  if (EraOf(heartbeat.m_next) < m_log_era) {
+  if (is_of_earlier_era) {
     m_actions.emplace_back(SendDatagram{member->m_info.m_peer, ack});
     return;
   }
--- a/core/src/node_era.cc
+++ b/core/src/node_era.cc
@@ -43,6 +43,9 @@
 // again from the state that the log has now; only votes are never decided twice
 // and have to be repeated.
 void Node::HandleRestored(Now now, Era era, ControlState state) {
+  if (era <= m_log_era) {
+    return;
+  }
   const bool is_lease_valid = m_lease.IsValid(now.m_time);
   m_log_era = era;
   m_was_restored = true;
--- a/runtime/include/figlug/runtime/log_follower.h
+++ b/runtime/include/figlug/runtime/log_follower.h
@@ -175,7 +175,14 @@
       ScheduleRetry();
       return;
     }
-    if (IsRestored(from, *page)) {
+    // The log ends before the requested offset, but names no later era: this
+    // page, or the checkpoint that the offset comes from, is outdated.
+    if (page->m_era == m_era && page->m_first <= from && page->m_next < from) {
+      m_restored.reset();
+      ScheduleRetry();
+      return;
+    }
+    if (IsRestored(*page)) {
       m_era = page->m_era;
       StartRestore();
       return;
@@ -202,14 +209,10 @@
     }
   }
 
-  // A log that ends before the requested offset has lost records, whether or
-  // not it says so by its era.
-  [[nodiscard]] bool IsRestored(core::Offset from,
-                                const wire::LogPage& page) const {
-    if (m_phase == Phase::kFollowing) {
-      return page.m_era > m_era || (page.m_next < from && page.m_first <= from);
-    }
-    const bool has_read_any = m_restored || m_scan_from > 0;
+  // A scan that has read nothing yet may begin in any era.
+  [[nodiscard]] bool IsRestored(const wire::LogPage& page) const {
+    const bool has_read_any =
+        m_phase == Phase::kFollowing || m_restored || m_scan_from > 0;
     return has_read_any && page.m_era > m_era;
   }
 
@@ -239,12 +242,12 @@
     }
   }
 
-  // Applies records to the state that is being rebuilt. A checkpoint that the
-  // log's records do not reach, or no longer follow, cannot be continued.
+  // Applies records to the state that is being rebuilt. A checkpoint that is
+  // older than the records that are kept cannot be continued.
   void OnRestoredRecords(core::Offset from,
                          const wire::LogPage& page,
                          const std::vector<core::LogEntry>& entries) {
-    if (page.m_first > from || page.m_next < from) {
+    if (page.m_first > from) {
       m_restored.reset();
       ScheduleRetry();
       return;
