Let figlug's own log name its era and come back from a copy

The log's stand-in takes a copy of its records and returns to it on request; each page names the number of restores, and a read from beyond the end is answered at once.

The fault proxy can make open connections silent: they carry nothing any more, not even their end, while new ones work.

--- a/figlugctl/main.cc
+++ b/figlugctl/main.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "commands.h"
+#include "figlug/runtime/logging.h"
 #include "figlug/settings/address.h"
 
 namespace {
@@ -33,6 +34,7 @@
   TCLAP::UnlabeledMultiArg<std::string> args(
       "command", "Command and its arguments", true, "COMMAND", command);
   command.parse(argc, argv);
+  figlug::runtime::SetUpLogging("error");
 
   const auto endpoint = figlug::settings::ParseAddress(log.getValue());
   if (!endpoint) {
--- a/runtime/include/figlug/runtime/http_log_client.h
+++ b/runtime/include/figlug/runtime/http_log_client.h
@@ -22,6 +22,8 @@
  private:
   HttpClient m_reads;
   HttpClient m_appends;
+  /// Newest era that a page has named.
+  core::Era m_era = 0;
 };
 
 static_assert(LogService<HttpLogClient>);
--- a/testing/include/figlug/testing/cluster.h
+++ b/testing/include/figlug/testing/cluster.h
@@ -97,6 +97,9 @@
   void SetPartition(std::size_t a, std::size_t b, bool is_partitioned);
   /// \brief Closes all connections that pass a link.
   void ResetConnections(const std::string& link);
+  /// \brief Makes all open connections from one address over a link carry
+  /// nothing any more.
+  void SilenceConnections(const std::string& from, const std::string& link);
   void SetLogFaults(const std::string& faults);
   void ConfigureTarget(std::size_t node, const std::string& faults);
   [[nodiscard]] nlohmann::json ForwardedBytes();
--- a/testing/include/figlug/testing/fault_proxy.h
+++ b/testing/include/figlug/testing/fault_proxy.h
@@ -19,6 +19,8 @@
 ///   address over a link; `*` matches any. Faults: `cut` (0 or 1), `delay_us`,
 ///   and for datagrams `loss` and `copies` (probabilities in permille).
 /// - `POST /reset?to=LINK` closes all connections that pass a link.
+/// - `POST /silence?from=IP&to=LINK` makes all open connections from an address
+///   over a link carry nothing any more, without an error; `*` matches any.
 /// - `GET /bytes` returns the bytes that each address has sent over each link.
 class FaultProxy {
  public:
--- a/testing/include/figlug/testing/log_stand_in.h
+++ b/testing/include/figlug/testing/log_stand_in.h
@@ -17,7 +17,9 @@
 ///
 /// `POST /control?NAME=VALUE` sets `down` (0 or 1), `slow_ms` (delay of reads),
 /// `lose_replies` (number of appends that take effect but are answered with an
-/// error) and `retain` (number of newest records kept).
+/// error) and `retain` (number of newest records kept). `copy=1` takes a copy
+/// of the records; `restore=1` returns to the newest copy and begins an era,
+/// which loses the records appended since and assigns their offsets again.
 class LogStandIn {
  public:
   explicit LogStandIn(runtime::EventLoop& loop);
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -230,6 +230,12 @@
   Post({m_network + "1", kControlPort}, "/reset?to=" + link);
 }
 
+void Cluster::SilenceConnections(const std::string& from,
+                                 const std::string& link) {
+  Post({m_network + "1", kControlPort},
+       "/silence?from=" + from + "&to=" + link);
+}
+
 void Cluster::SetPartition(std::size_t a, std::size_t b, bool is_partitioned) {
   const std::string faults = is_partitioned ? "cut=1" : "cut=0";
   SetLinkFaults(HostOf(a), "node-" + std::to_string(b), faults);
--- a/testing/src/fault_proxy.cc
+++ b/testing/src/fault_proxy.cc
@@ -30,6 +30,7 @@
 constexpr int kListenBacklog = 512;
 constexpr std::uint64_t kRandomSeed = 7;
 constexpr std::size_t kMaxDatagramBytes = 2048;
+constexpr int kSides = 2;
 constexpr core::Duration kCutCheckInterval = std::chrono::milliseconds(5);
 
 std::string HostOf(const sockaddr* address) {
@@ -155,6 +156,10 @@
     bufferevent* m_server = nullptr;
     std::deque<Chunk> m_to_server;
     std::deque<Chunk> m_to_client;
+    /// Whether the connection carries nothing any more, not even its end.
+    bool m_is_silent = false;
+    /// Number of sides that have ended a silent connection.
+    int m_ended_sides = 0;
     bool m_is_closing = false;
     /// Whether a closing connection has been given time to send its last bytes.
     bool m_has_lingered = false;
@@ -196,6 +201,8 @@
           QueryNumber(request, "delay_us").value_or(rule.m_delay.count()));
       rule.m_loss = QueryNumber(request, "loss").value_or(rule.m_loss);
       rule.m_copies = QueryNumber(request, "copies").value_or(rule.m_copies);
+    } else if (PathOf(request) == "/silence") {
+      Silence(QueryText(request, "from"), QueryText(request, "to"));
     } else if (PathOf(request) == "/reset") {
       const std::string link = QueryText(request, "to");
       m_streams.remove_if(
@@ -213,6 +220,20 @@
     evbuffer_free(reply);
   }
 
+  void Silence(const std::string& from, const std::string& to) {
+    const auto matches = [](const std::string& pattern,
+                            const std::string& name) {
+      return pattern == Wildcard() || pattern == name;
+    };
+    for (Stream& stream : m_streams) {
+      if (matches(from, stream.m_from) && matches(to, stream.m_link.m_name)) {
+        stream.m_is_silent = true;
+        stream.m_to_server.clear();
+        stream.m_to_client.clear();
+      }
+    }
+  }
+
   static void OnDatagram(evutil_socket_t socket, short, void* arg) {
     auto* link = static_cast<Link*>(arg);
     std::array<char, kMaxDatagramBytes> buffer;
@@ -304,6 +325,9 @@
     chunk.m_release_time = runtime::ReadClocks().m_time + rule.m_delay;
     impl.m_bytes[{stream->m_from, stream->m_link.m_name}] +=
         chunk.m_bytes.size();
+    if (stream->m_is_silent) {
+      return;
+    }
     (side == stream->m_client ? stream->m_to_server : stream->m_to_client)
         .push_back(std::move(chunk));
     impl.Flush(*stream);
@@ -314,6 +338,9 @@
       SetNoDelay(side);
     } else {
       auto* stream = static_cast<Stream*>(arg);
+      if (stream->m_is_silent && ++stream->m_ended_sides < kSides) {
+        return;
+      }
       stream->m_is_closing = true;
       stream->m_timer.Set(core::Duration::zero());
     }
--- a/testing/src/log_stand_in.cc
+++ b/testing/src/log_stand_in.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <list>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -21,6 +22,7 @@
 constexpr int kOk = 200;
 constexpr int kCreated = 201;
 constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -55,6 +57,11 @@
   }
 
  private:
+  struct Stored {
+    /// Offset of the first record.
+    core::Offset m_first = 0;
+    std::deque<std::string> m_records;
+  };
   /// A long-polling read that waits for its first record or its timeout.
   struct Reader {
     Reader(Impl& impl, evhttp_request* request, core::Offset from)
@@ -66,7 +73,9 @@
     runtime::Timer m_timer;
   };
 
-  core::Offset next() const { return m_first_offset + m_records.size(); }
+  core::Offset next() const {
+    return m_stored.m_first + m_stored.m_records.size();
+  }
 
   void OnRequest(evhttp_request* request) {
     const std::string path = PathOf(request);
@@ -92,6 +101,19 @@
         QueryNumber(request, "retain")
             .value_or(static_cast<std::int64_t>(m_max_records)));
     Trim();
+    const bool is_restored = QueryNumber(request, "restore").value_or(0) != 0;
+    if (QueryNumber(request, "copy").value_or(0) != 0) {
+      m_copy = m_stored;
+    }
+    if (is_restored && !m_copy) {
+      evhttp_send_reply(request, kConflict, "no copy", nullptr);
+      return;
+    }
+    if (is_restored) {
+      m_stored = *m_copy;
+      ++m_era;
+      WakeReaders();
+    }
     if (m_is_down) {
       while (!m_readers.empty()) {
         evhttp_send_reply(m_readers.front().m_request, kUnavailable, "down",
@@ -107,7 +129,7 @@
     std::string data(evbuffer_get_length(body), '\0');
     evbuffer_remove(body, data.data(), data.size());
     const core::Offset offset = next();
-    m_records.push_back(std::move(data));
+    m_stored.m_records.push_back(std::move(data));
     Trim();
     WakeReaders();
     if (m_replies_to_lose > 0) {
@@ -134,9 +156,9 @@
           static_cast<Impl*>(self)->OnClosed(connection);
         },
         this);
-    const bool has_records = from < next();
+    const bool waits = from == next();
     reader.m_timer.Set(std::chrono::milliseconds(
-        has_records ? m_read_delay_ms : std::max(wait_ms, m_read_delay_ms)));
+        waits ? std::max(wait_ms, m_read_delay_ms) : m_read_delay_ms));
   }
 
   void OnClosed(evhttp_connection* connection) {
@@ -153,15 +175,16 @@
 
   void Finish(Reader& reader) {
     evhttp_request* request = reader.m_request;
-    const core::Offset from = std::max(reader.m_from, m_first_offset);
+    const core::Offset from = std::max(reader.m_from, m_stored.m_first);
     m_readers.remove_if([&](const Reader& other) { return &other == &reader; });
-    wire::LogPage page{m_first_offset, next(), {}};
+    wire::LogPage page{m_stored.m_first, next(), {}, m_era};
     std::size_t bytes = 0;
     for (core::Offset offset = from;
          offset < next() && page.m_entries.size() < kMaxEntriesPerPage &&
          bytes < kMaxPageBytes;
          ++offset) {
-      page.m_entries.push_back({offset, m_records[offset - m_first_offset]});
+      page.m_entries.push_back(
+          {offset, m_stored.m_records[offset - m_stored.m_first]});
       bytes += page.m_entries.back().m_data.size();
     }
     const std::string data = wire::EncodeLogPage(page);
@@ -174,9 +197,9 @@
   }
 
   void Trim() {
-    while (m_records.size() > m_max_records) {
-      m_records.pop_front();
-      ++m_first_offset;
+    while (m_stored.m_records.size() > m_max_records) {
+      m_stored.m_records.pop_front();
+      ++m_stored.m_first;
     }
   }
 
@@ -186,8 +209,10 @@
   std::int64_t m_read_delay_ms = 0;
   std::int64_t m_replies_to_lose = 0;
   std::size_t m_max_records = 1'000'000;
-  core::Offset m_first_offset = 0;
-  std::deque<std::string> m_records;
+  Stored m_stored;
+  std::optional<Stored> m_copy;
+  /// Number of restores.
+  core::Era m_era = 0;
   std::list<Reader> m_readers;
 };
 
