Use no checkpoint that was read in an earlier era of the log

A reader that rebuilt its state after a restore took any checkpoint that the store returned, also one of an earlier era whose answer arrived late. If the new log had grown past it, the state was that of the lost records continued by new ones. The test ALateCheckpointOfAnEarlierEraIsNotUsed read "abcz" instead of "axyz" before the change. Such an answer is now dropped and the checkpoint read again; a checkpoint store has to name the era with each answer.

--- a/runtime/include/figlug/runtime/log_follower.h
+++ b/runtime/include/figlug/runtime/log_follower.h
@@ -128,12 +128,13 @@
 
   void OnCheckpointRead(CheckpointReply&& reply) {
     m_handlers.m_on_health(reply.m_has_reply);
-    if (!reply.m_has_reply) {
+    // A checkpoint of an earlier era may hold records that the log has lost.
+    if (!reply.m_has_reply || reply.m_era < m_era) {
       ScheduleRetry();
       return;
     }
     m_backoff = kInitialBackoff;
-    m_era = std::max(m_era, reply.m_era);
+    m_era = reply.m_era;
     core::ControlState state = reply.m_state == nullptr
                                    ? core::ControlState()
                                    : core::ControlState(*reply.m_state);
--- a/runtime/tests/log_follower_test.cc
+++ b/runtime/tests/log_follower_test.cc
@@ -466,6 +466,20 @@
   STRCMP_EQUAL("ab", reader.Names().c_str());
 }
 
+// Guards against a state of lost records that is continued by others.
+TEST(LogFollowerOfStore, ALateCheckpointOfAnEarlierEraIsNotUsed) {
+  Publish("abc");
+  reader.CatchUp();
+  log.StoreCheckpoint(reader.m_state);
+  log.Restore(1);
+  Publish("xyz");
+  log.Answer();
+  log.AnswerCheckpoint(0);
+  log.StoreCheckpoint(core::ControlState());
+  reader.CatchUp();
+  CheckState("axyz", 1);
+}
+
 // Guards against a state rebuilt from two copies.
 TEST(LogFollowerOfStore, ASecondRestoreDuringTheRebuildingStartsItOver) {
   Publish("abcdef");
