Start a scan of the log over when the log ends before it

A scan that was on its way when a log which names no era lost its newest records ended with the records that it had collected, and reported a complete state with lost ones; only the next read found the end before its position. The scan starts over instead. The test AnEndBeforeTheReadRecordsDuringTheStartStartsItOver saw one restore, hence a start with lost records, before the change and none after it.

--- a/runtime/include/figlug/runtime/log_follower.h
+++ b/runtime/include/figlug/runtime/log_follower.h
@@ -277,10 +277,15 @@
 
   // Collects all retained records until the end of the log, so that
   // StartFromScan can pick the newest checkpoint. Starts over if the log trims
-  // records during the scan.
+  // or loses records during the scan.
   void OnScanPage(const wire::LogPage& page,
                   std::vector<core::LogEntry>&& entries) {
     m_era = page.m_era;
+    if (page.m_next < m_scan_from) {
+      ResetScan();
+      Read();
+      return;
+    }
     if (m_scan_from < page.m_first) {
       m_scanned.clear();
       m_scan_from = page.m_first;
--- a/runtime/tests/log_follower_test.cc
+++ b/runtime/tests/log_follower_test.cc
@@ -357,6 +357,17 @@
   LONGS_EQUAL(1, reader.m_era);
 }
 
+// Guards against a start that adds records of a restored log, which does not
+// name its era, to those that it has lost.
+TEST(LogFollower, AnEndBeforeTheReadRecordsDuringTheStartStartsItOver) {
+  Publish("abcd");
+  log.Answer();
+  LONGS_EQUAL(2, log.from());
+  log.RestoreSilently(1);
+  reader.CatchUp();
+  CheckState("a", 0);
+}
+
 // Guards against two restores that are reported for one.
 TEST(LogFollower, RestoresInARowAreEachReported) {
   Publish("abc");
