Do not report a record as refused that a restored state contains

An operator's record that was read back only as part of a restored state was sent again, rejected as a second copy, and reported as refused although it had taken effect (exit code 1). The outcome is now reported as unknown (3). The second test shows that a record which a restore has lost is sent again with its id and published.

--- a/runtime/src/operator_session.cc
+++ b/runtime/src/operator_session.cc
@@ -84,6 +84,11 @@
   if (m_result->m_applied) {
     return {};
   }
+  // The first copy was read as part of a restored state or a checkpoint, which
+  // does not say whether it took effect.
+  if (m_result->m_reason == core::RejectReason::kDuplicate) {
+    return tl::unexpected(OperatorError::kUnknown);
+  }
   return tl::unexpected(m_result->m_reason == core::RejectReason::kStale
                             ? OperatorError::kConflict
                             : OperatorError::kRejected);
--- a/tests/operators_test.cc
+++ b/tests/operators_test.cc
@@ -1,16 +1,24 @@
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
 
+#include "figlug/runtime/http_client.h"
+#include "figlug/runtime/operator_session.h"
 #include "figlug/testing/cluster.h"
+#include "figlug/testing/log_stand_in.h"
 #include "programs.h"
 
 namespace figlug::testing {
 namespace {
 
 constexpr std::size_t kNodes = 4;
+const core::Endpoint kLogAddress = {"127.0.0.1", 7976};
+constexpr core::Duration kControlTimeout = std::chrono::seconds(2);
+/// Later than the append, earlier than the answer of a slow log.
+constexpr core::Duration kRestoreDelay = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -109,4 +117,54 @@
   CHECK(cluster.WaitReady());
 }
 
+TEST_GROUP(OperatorSession) {
+  runtime::EventLoop loop;
+  LogStandIn log{loop};
+  runtime::HttpClient control{loop, kLogAddress, 1, 1024};
+  runtime::OperatorSession session{loop, kLogAddress};
+
+  void setup() override {
+    CHECK(log.Listen(kLogAddress).has_value());
+    CHECK(session.Load().has_value());
+  }
+
+  void Control(const std::string& faults,
+               const std::function<void()>& on_done) {
+    control.Send({"POST", "/control?" + faults, {}, ""}, kControlTimeout,
+                 [on_done](runtime::HttpClient::Result&& result) {
+                   CHECK(result.has_value());
+                   LONGS_EQUAL(200, result->m_status);
+                   on_done();
+                 });
+  }
+
+  /// Publishes a profile; the log changes after the append and before the
+  /// record is read back.
+  tl::expected<void, runtime::OperatorError> PublishDuring(
+      const std::string& before, const std::string& after) {
+    Control(before, [this] { loop.Stop(); });
+    loop.Run();
+    runtime::Timer timer(loop, [this, after] { Control(after, [] {}); });
+    timer.Set(kRestoreDelay);
+    core::ProfileRecord record;
+    record.m_profile.m_name = "orders";
+    return session.Commit(record);
+  }
+};
+
+// Guards against a command that waits for a record which the log has lost.
+TEST(OperatorSession, ARecordThatARestoreHasLostIsSentAgain) {
+  CHECK(PublishDuring("copy=1&slow_ms=600", "restore=1").has_value());
+  LONGS_EQUAL(1, session.state().FindProfile("orders")->m_version);
+}
+
+// Guards against "refused" for a record that took effect and that the command
+// read as part of a restored state.
+TEST(OperatorSession, ARecordReadInARestoredStateIsNotReportedAsRefused) {
+  const auto result = PublishDuring("slow_ms=600", "copy=1&restore=1");
+  LONGS_EQUAL(1, session.state().FindProfile("orders")->m_version);
+  CHECK(result.has_value() ||
+        result.error() == runtime::OperatorError::kUnknown);
+}
+
 }  // namespace figlug::testing
