--- a/runtime/include/figlug/runtime/log_follower.h
+++ b/runtime/include/figlug/runtime/log_follower.h
@@ -128,12 +128,13 @@
 
   void OnCheckpointRead(CheckpointReply&& reply) {
     m_handlers.m_on_health(reply.m_has_reply);
-    if (!reply.m_has_reply) {
+    // A checkpoint of an earlier era may hold records that the log has lost.
+    if (!reply.m_has_reply || reply.m_era < m_era) {
       ScheduleRetry();
       return;
     }
     m_backoff = kInitialBackoff;
-    m_era = std::max(m_era, reply.m_era);
+    m_era = reply.m_era;
     core::ControlState state = reply.m_state == nullptr
                                    ? core::ControlState()
                                    : core::ControlState(*reply.m_state);
@@ -279,10 +280,15 @@
 
   // Collects all retained records until the end of the log, so that
   // StartFromScan can pick the newest checkpoint. Starts over if the log trims
-  // records during the scan.
+  // or loses records during the scan.
   void OnScanPage(const wire::LogPage& page,
                   std::vector<core::LogEntry>&& entries) {
     m_era = page.m_era;
+    if (page.m_next < m_scan_from) {
+      ResetScan();
+      Read();
+      return;
+    }
     if (m_scan_from < page.m_first) {
       m_scanned.clear();
       m_scan_from = page.m_first;
