Retire idle HTTP connections after a call that timed out

Cause: a call that timed out closed its own connection only. Where the open connections to a server had all fallen silent, each further idle one cost another call its whole time-out.

Change: a call that times out retires the idle connections that have carried no response since it began. A call that is cancelled retires nothing: a caller that leaves says nothing about the connection.

Before: HttpClient.ATimeoutRetiresTheConnectionsThatWereIdleMeanwhile fails (the second call times out, too). After: runtime_test passes, 11 tests.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -157,6 +157,8 @@
     ResponseCheck m_check;
     evhttp_connection* m_connection = nullptr;
     core::Time m_deadline{};
+    /// When it was given a connection.
+    core::Time m_started{};
     std::optional<evhttp_request_error> m_error;
     bool m_is_cancelled = false;
     wire::HttpRequest m_pending_request;
@@ -166,6 +168,8 @@
     evhttp_connection* m_connection = nullptr;
     /// From this time on, the server may close the connection.
     core::Time m_expiry{};
+    /// When the last response on it was complete.
+    core::Time m_last_used{};
   };
 
   // If the server closes an idle connection just as a request is sent on it,
@@ -181,6 +185,18 @@
     });
   }
 
+  // The server's connections may all have fallen silent at once. Those that
+  // have carried a response since the call began work.
+  void RetireUnusedSince(core::Time start) {
+    std::erase_if(m_idle_connections, [&](const IdleConnection& idle) {
+      if (idle.m_last_used >= start) {
+        return false;
+      }
+      Retire(idle.m_connection);
+      return true;
+    });
+  }
+
   evhttp_connection* AcquireConnection() {
     if (!m_idle_connections.empty()) {
       evhttp_connection* connection = m_idle_connections.back().m_connection;
@@ -254,8 +270,9 @@
       return;
     }
     call.m_connection = AcquireConnection();
-    const auto remaining = std::max(
-        (call.m_deadline - ReadClocks().m_time).count(), kMinTimeout.count());
+    call.m_started = ReadClocks().m_time;
+    const auto remaining = std::max((call.m_deadline - call.m_started).count(),
+                                    kMinTimeout.count());
     const timeval timeout{remaining / kMicrosPerSecond,
                           remaining % kMicrosPerSecond};
     evhttp_connection_set_timeout_tv(call.m_connection, &timeout);
@@ -305,15 +322,19 @@
                      tl::unexpected(HttpClientError::kMismatchedResponse));
         return;
       }
+      const core::Time now = ReadClocks().m_time;
       impl->m_idle_connections.push_back(
           {call->m_connection,
-           ReadClocks().m_time +
-               std::min(impl->m_max_idle_time, ParseIdleTime(response))});
+           now + std::min(impl->m_max_idle_time, ParseIdleTime(response)),
+           now});
       impl->Finish(call->m_id, std::move(response));
       return;
     }
     const HttpClientError error = call->m_error ? ToClientError(*call->m_error)
                                                 : HttpClientError::kNotSent;
+    if (error == HttpClientError::kTimeout) {
+      impl->RetireUnusedSince(call->m_started);
+    }
     impl->Retire(call->m_connection);
     impl->Finish(call->m_id, tl::unexpected(error));
   }
--- a/runtime/tests/http_client_test.cc
+++ b/runtime/tests/http_client_test.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -103,6 +104,59 @@
   std::size_t m_written = 0;
 };
 
+/// \brief A server that answers every request, until the connections that are
+/// open fall silent; new ones work.
+class FadingServer {
+ public:
+  explicit FadingServer(EventLoop& loop) : m_loop(loop) {
+    const sockaddr_in address = impl::ToSocketAddress(kServerAddress);
+    m_listener = evconnlistener_new_bind(
+        loop.base(), &OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
+        reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    CHECK(m_listener != nullptr);
+  }
+  ~FadingServer() {
+    for (bufferevent* stream : m_streams) {
+      bufferevent_free(stream);
+    }
+    evconnlistener_free(m_listener);
+  }
+  FadingServer(const FadingServer&) = delete;
+  FadingServer& operator=(const FadingServer&) = delete;
+
+  void SilenceConnections() {
+    for (bufferevent* stream : m_streams) {
+      bufferevent_disable(stream, EV_READ | EV_WRITE);
+    }
+  }
+  [[nodiscard]] std::size_t connections() const { return m_streams.size(); }
+
+ private:
+  static void OnAccept(evconnlistener*,
+                       evutil_socket_t socket,
+                       sockaddr*,
+                       int,
+                       void* arg) {
+    auto* self = static_cast<FadingServer*>(arg);
+    bufferevent* stream = bufferevent_socket_new(self->m_loop.base(), socket,
+                                                 BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(stream, &OnRead, nullptr, nullptr, nullptr);
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    self->m_streams.push_back(stream);
+  }
+  static void OnRead(bufferevent* stream, void*) {
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    evbuffer* input = bufferevent_get_input(stream);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    bufferevent_write(stream, answer.data(), answer.size());
+  }
+
+  EventLoop& m_loop;
+  evconnlistener* m_listener = nullptr;
+  std::vector<bufferevent*> m_streams;
+};
+
 /// \brief Result of one request to a scripted server.
 struct Fetched {
   HttpClient::Result m_result;
@@ -179,4 +233,39 @@
   }
 }
 
+// Guards against a server whose open connections all fell silent: each idle one
+// cost a request its whole time-out.
+TEST(HttpClient, ATimeoutRetiresTheConnectionsThatWereIdleMeanwhile) {
+  constexpr std::size_t connections = 3;
+  constexpr core::Duration short_timeout = milliseconds(200);
+  EventLoop loop;
+  FadingServer server(loop);
+  HttpClient client(loop, kServerAddress, connections, kMaxBodyBytes);
+  std::vector<HttpClient::Result> results;
+  const auto send = [&](core::Duration timeout, std::size_t expected) {
+    client.Send({"GET", "/order/1", {}, ""}, timeout,
+                [&, expected](HttpClient::Result&& result) {
+                  results.push_back(std::move(result));
+                  if (results.size() == expected) {
+                    loop.Stop();
+                  }
+                });
+  };
+  for (std::size_t i = 0; i < connections; ++i) {
+    send(kRequestTimeout, connections);
+  }
+  loop.Run();
+  LONGS_EQUAL(connections, server.connections());
+
+  server.SilenceConnections();
+  send(short_timeout, connections + 1);
+  loop.Run();
+  CHECK_FALSE(results.back().has_value());
+  CHECK(results.back().error() == HttpClientError::kTimeout);
+  send(short_timeout, connections + 2);
+  loop.Run();
+  CHECK(results.back().has_value());
+  LONGS_EQUAL(connections + 1, server.connections());
+}
+
 }  // namespace figlug::runtime
