--- a/runtime/src/connection_probe.cc
+++ b/runtime/src/connection_probe.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "figlug/runtime/impl/socket_address.h"
+#include "figlug/runtime/impl/timeval.h"
 
 namespace figlug::runtime {
 namespace {
@@ -18,10 +19,12 @@
 
 ConnectionProbe::ConnectionProbe(EventLoop& loop,
                                  core::Endpoint to,
-                                 std::function<void(bool)> on_change)
+                                 std::function<void(bool)> on_change,
+                                 core::Duration max_idle_time)
     : m_loop(loop),
       m_to(std::move(to)),
       m_on_change(std::move(on_change)),
+      m_max_idle_time(max_idle_time),
       m_retry(loop, [this] { Connect(); }) {}
 
 ConnectionProbe::~ConnectionProbe() {
@@ -58,16 +61,18 @@
       m_stream, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
 }
 
-// A server may close an idle connection; it counts as down only if a new
-// connection is refused or times out.
+// A server may close an idle connection, or it may fall silent; the server
+// counts as down only if a new connection is refused or times out.
 void ConnectionProbe::OnEvent(short events) {
   if ((events & BEV_EVENT_CONNECTED) != 0) {
-    bufferevent_set_timeouts(m_stream, nullptr, nullptr);
+    const timeval max_idle = impl::ToTimeval(m_max_idle_time);
+    bufferevent_set_timeouts(m_stream, &max_idle, nullptr);
     Report(true);
     return;
   }
   const bool was_connected =
-      (events & BEV_EVENT_READING) != 0 && (events & BEV_EVENT_EOF) != 0;
+      (events & BEV_EVENT_READING) != 0 &&
+      (events & (BEV_EVENT_EOF | BEV_EVENT_TIMEOUT)) != 0;
   if (!was_connected) {
     Report(false);
   }
