Close connections from peers that stay silent after a probe

Cause: a connection that a peer opened had a time-out for writes only. One that fell silent stayed open, with its descriptor, for as long as the process ran.

Change: after 1 min without data the gate probes such a connection, and closes it after another minute without data, with a line in the log. It is probed first since closing an idle but working one could meet an attempt on its way.

Before: PeerTransport.ASilentConnectionFromAPeerIsClosed fails (still open after 10 s; run with the interface of this change and the behaviour of before). After: it passes (604 ms with an idle time of 300 ms), and AnIdleConnectionFromAPeerIsKept beside it. runtime_test: 15 tests pass.

--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -18,6 +18,11 @@
 /// \brief Identifies a connection opened by a peer.
 enum class PeerConnectionId : std::uint64_t {};
 
+/// A connection that a peer opened is probed after this time without data, and
+/// closed after the same time again. With 450 idle peers that is 8 probes a
+/// second.
+inline constexpr core::Duration kInboundIdleTime = std::chrono::minutes(1);
+
 /// \brief Callbacks of a PeerTransport.
 struct PeerHandlers {
   /// Called for each frame except replies; a reply to it is sent on the same
@@ -40,7 +45,11 @@
 /// \endcode
 class PeerTransport {
  public:
-  PeerTransport(EventLoop& loop, PeerHandlers handlers);
+  /// \param max_inbound_idle Time after which a silent connection that a peer
+  /// opened is probed, then closed.
+  PeerTransport(EventLoop& loop,
+                PeerHandlers handlers,
+                core::Duration max_inbound_idle = kInboundIdleTime);
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -20,6 +20,7 @@
 
 #include "figlug/core/connection_liveness.h"
 #include "figlug/runtime/impl/socket_address.h"
+#include "figlug/runtime/impl/timeval.h"
 #include "figlug/runtime/logging.h"
 
 namespace figlug::runtime {
@@ -49,9 +50,10 @@
 
 class PeerTransport::Impl {
  public:
-  Impl(EventLoop& loop, PeerHandlers handlers)
+  Impl(EventLoop& loop, PeerHandlers handlers, core::Duration max_inbound_idle)
       : m_loop(loop),
         m_handlers(std::move(handlers)),
+        m_inbound_read_timeout(impl::ToTimeval(max_inbound_idle)),
         m_free_retired(loop, [this] { m_retired.clear(); }),
         m_liveness_timer(loop, [this] { ReviewLiveness(); }) {}
 
@@ -113,6 +115,8 @@
     std::set<core::AttemptId> m_attempts;
     /// Used for connections opened by this process.
     core::ConnectionLiveness m_liveness;
+    /// Used for connections opened by a peer: probed since the last receipt.
+    bool m_is_probed = false;
   };
   using Key = std::pair<std::string, std::uint16_t>;
 
@@ -172,7 +176,8 @@
     connection->m_id = id;
     connection->m_is_connected = true;
     impl->Attach(*connection, socket);
-    bufferevent_set_timeouts(connection->m_stream, nullptr, &kWriteTimeout);
+    bufferevent_set_timeouts(connection->m_stream,
+                             &impl->m_inbound_read_timeout, &kWriteTimeout);
     impl->m_inbound[id] = std::move(connection);
   }
 
@@ -239,6 +244,7 @@
 
   static void OnReadable(bufferevent* stream, void* arg) {
     auto* connection = static_cast<Connection*>(arg);
+    connection->m_is_probed = false;
     evbuffer* input = bufferevent_get_input(stream);
     ReadAll(stream, input);
     std::vector<wire::Frame> frames;
@@ -332,9 +338,28 @@
       connection->m_impl->StartLivenessTimer();
       return;
     }
+    constexpr short read_timeout = BEV_EVENT_READING | BEV_EVENT_TIMEOUT;
+    if ((events & read_timeout) == read_timeout) {
+      connection->m_impl->OnInboundSilent(*connection);
+      return;
+    }
     connection->m_impl->Close(*connection);
   }
 
+  // Closing at once could meet an attempt on its way, whose outcome would then
+  // be unknown. libevent stops reading after a read timeout.
+  void OnInboundSilent(Connection& connection) {
+    if (!std::exchange(connection.m_is_probed, true)) {
+      Write(connection, wire::ProbeFrame{});
+      bufferevent_enable(connection.m_stream, EV_READ);
+      return;
+    }
+    LOG4CPLUS_WARN(MemberLogger(),
+                   "connection " << static_cast<std::uint64_t>(connection.m_id)
+                                 << " from a peer is silent; closing it");
+    Close(connection);
+  }
+
   // libevent may still be in a callback of this connection, so freeing it is
   // deferred to the next iteration of the loop.
   void Close(Connection& connection) {
@@ -360,6 +385,7 @@
 
   EventLoop& m_loop;
   PeerHandlers m_handlers;
+  timeval m_inbound_read_timeout;
   std::string m_host;
   evconnlistener* m_listener = nullptr;
   std::uint64_t m_last_id = 0;
@@ -372,8 +398,12 @@
   bool m_is_reviewing_liveness = false;
 };
 
-PeerTransport::PeerTransport(EventLoop& loop, PeerHandlers handlers)
-    : m_impl(std::make_unique<Impl>(loop, std::move(handlers))) {}
+PeerTransport::PeerTransport(EventLoop& loop,
+                             PeerHandlers handlers,
+                             core::Duration max_inbound_idle)
+    : m_impl(
+          std::make_unique<Impl>(loop, std::move(handlers), max_inbound_idle)) {
+}
 
 PeerTransport::~PeerTransport() = default;
 
--- a/runtime/tests/peer_transport_test.cc
+++ b/runtime/tests/peer_transport_test.cc
@@ -2,6 +2,9 @@
 
 #include "figlug/runtime/peer_transport.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -9,12 +12,15 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "figlug/runtime/impl/socket_address.h"
+
 namespace figlug::runtime {
 namespace {
 
 using std::chrono::milliseconds;
 
 constexpr core::Duration kWaitTimeout = std::chrono::seconds(10);
+constexpr core::Duration kInboundReview = milliseconds(300);
 const core::Endpoint kGateAddress = {"127.0.0.1", 7971};
 const core::Endpoint kIngressAddress = {"127.0.0.1", 7972};
 
@@ -143,4 +149,51 @@
   CHECK_FALSE(is_lost);
 }
 
+// Guards against connections from peers that fell silent and stay open until
+// the process has no descriptors left.
+TEST(PeerTransport, ASilentConnectionFromAPeerIsClosed) {
+  EventLoop loop;
+  std::size_t closed = 0;
+  PeerTransport gate(loop,
+                     {.m_on_frame = [](auto, auto&&) {},
+                      .m_on_reply = [](auto&&) {},
+                      .m_on_lost = [](auto, auto) {},
+                      .m_on_closed = [&](auto) { ++closed; }},
+                     kInboundReview);
+  CHECK(gate.Listen(kGateAddress).has_value());
+  const int silent = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = impl::ToSocketAddress(kGateAddress);
+  LONGS_EQUAL(0, connect(silent, reinterpret_cast<const sockaddr*>(&address),
+                         sizeof(address)));
+  const core::Time end = ReadClocks().m_time + kWaitTimeout;
+  while (closed == 0 && ReadClocks().m_time < end) {
+    RunFor(loop, milliseconds(10));
+  }
+  LONGS_EQUAL(1, closed);
+  close(silent);
+}
+
+// A peer that has nothing to send answers probes, and keeps its connection.
+TEST(PeerTransport, AnIdleConnectionFromAPeerIsKept) {
+  EventLoop loop;
+  std::size_t closed = 0;
+  std::size_t delivered = 0;
+  PeerTransport gate(loop,
+                     {.m_on_frame = [&](auto, auto&&) { ++delivered; },
+                      .m_on_reply = [](auto&&) {},
+                      .m_on_lost = [](auto, auto) {},
+                      .m_on_closed = [&](auto) { ++closed; }},
+                     kInboundReview);
+  CHECK(gate.Listen(kGateAddress).has_value());
+  PeerTransport ingress(loop, {.m_on_frame = [](auto, auto&&) {},
+                               .m_on_reply = [](auto&&) {},
+                               .m_on_lost = [](auto, auto) {},
+                               .m_on_closed = [](auto) {}});
+  CHECK(ingress.Listen(kIngressAddress).has_value());
+  ingress.Send(kGateAddress, wire::CancelFrame{core::AttemptId{1}});
+  RunFor(loop, 10 * kInboundReview);
+  LONGS_EQUAL(1, delivered);
+  LONGS_EQUAL(0, closed);
+}
+
 }  // namespace figlug::runtime
