Keep the fence of a slice that is served on across a restore of the log

A member that held its lease went on serving its slices after a restore, with the fencing token of the restored state until a record began the new era. The owner now uses the newer of both.

--- a/core/include/figlug/core/ownership.h
+++ b/core/include/figlug/core/ownership.h
@@ -51,7 +51,8 @@
     m_may_have_unknown_holders = may_have;
   }
   [[nodiscard]] SliceStatus StatusOf(Time now, SliceIndex slice) const;
-  /// \brief Fencing token of a slice this member owns.
+  /// \brief Fencing token of a slice this member owns; never lower than the
+  /// one that a continued slice was served under.
   [[nodiscard]] Position EpochOf(SliceIndex slice) const;
   /// \brief Handles a previous holder's confirmation that it released slices.
   void OnRelease(const Release& release);
@@ -88,6 +89,8 @@
     /// Whether the slice was ready when the log was restored and has been this
     /// member's own since.
     bool m_is_continued = false;
+    /// Fencing token that the slice was served under when it became continued.
+    Position m_continued_epoch = 0;
     WallTime m_lost_wall_time{};
     Time m_ready_at{};
   };
--- a/core/src/ownership.cc
+++ b/core/src/ownership.cc
@@ -51,6 +51,7 @@
     const Slice next = i < slices.size() ? slices[i] : Slice{};
     const bool was_ready =
         is_lease_valid && StatusOf(now, i) == SliceStatus::kReady;
+    m_local[i].m_continued_epoch = EpochOf(i);
     m_local[i].m_is_continued = was_ready && next.m_owner == m_self;
     Classify(i, next);
     m_local[i].m_slice = next;
@@ -141,8 +142,13 @@
   return it != releases->second.end() && it->second >= previous.m_taken_at;
 }
 
+// Until a record has begun the new era, the restored state has a fencing token
+// from before the lost records.
 Position Ownership::EpochOf(SliceIndex slice) const {
-  return LocalOf(slice).m_slice.m_epoch;
+  const LocalSlice& local = LocalOf(slice);
+  return local.m_is_continued
+             ? std::max(local.m_slice.m_epoch, local.m_continued_epoch)
+             : local.m_slice.m_epoch;
 }
 
 // A release sent before the slice was last taken from the sender is outdated:
--- a/core/tests/parts_test.cc
+++ b/core/tests/parts_test.cc
@@ -11,6 +11,7 @@
 #include "figlug/core/connection_liveness.h"
 #include "figlug/core/control_state.h"
 #include "figlug/core/latency_window.h"
+#include "figlug/core/ownership.h"
 #include "figlug/core/request_id_filter.h"
 #include "figlug/core/watcher_choice.h"
 
@@ -225,4 +226,22 @@
   CHECK(liveness.Review(At(9600)) == LivenessAction::kClose);
 }
 
+// Guards against a fencing token that goes back between a restore of the log
+// and the record that begins the new era.
+TEST(Parts, AContinuedSliceKeepsItsFenceAfterARestore) {
+  const auto service = [](Position epoch) {
+    return Service{"p", {Slice{.m_owner = kA, .m_epoch = epoch}}};
+  };
+  Ownership ownership(kA);
+  ownership.OnRecordApplied(At(0), {}, service(MakePosition(1, 36)), {});
+  const Service restored = service(MakePosition(0, 34));
+  ownership.OnRestored(At(1), &restored, true);
+  CHECK(ownership.StatusOf(At(1), 0) == SliceStatus::kReady);
+  UNSIGNED_LONGS_EQUAL(MakePosition(1, 36), ownership.EpochOf(0));
+  ownership.OnRestored(At(2), &restored, true);
+  UNSIGNED_LONGS_EQUAL(MakePosition(1, 36), ownership.EpochOf(0));
+  ownership.OnRecordApplied(At(3), {}, service(MakePosition(3, 35)), {});
+  UNSIGNED_LONGS_EQUAL(MakePosition(3, 35), ownership.EpochOf(0));
+}
+
 }  // namespace figlug::core
