--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -39,7 +39,19 @@
     std::pair(FaultKind::kLogDown, "log down"),
     std::pair(FaultKind::kLogSlow, "log slow"),
     std::pair(FaultKind::kLogLosesReplies, "log loses replies"),
+    std::pair(FaultKind::kLogRestored, "log restored from a copy"),
+    std::pair(FaultKind::kSilentConnections, "silent connections of node"),
 };
+/// Number of the last kinds, which are drawn on request only.
+constexpr std::size_t kOptionalFaults = 2;
+/// Time between two restores in a row.
+constexpr core::Duration kRepeatedRestoreDelay = milliseconds(300);
+/// Of the seeds with restores, one in this many ends with a loss of all nodes.
+constexpr std::uint64_t kSeedsPerFinalLoss = 3;
+/// Age of the copy at the restore before or after the loss of all nodes.
+constexpr core::Duration kFinalCopyAge = seconds(2);
+/// Time after the start of the nodes within which most have not joined.
+constexpr core::Duration kStartDelay = milliseconds(300);
 
 bool IsProcessFault(FaultKind kind) {
   return kind == FaultKind::kKillNode || kind == FaultKind::kFreezeNode ||
@@ -81,9 +93,14 @@
                        static_cast<std::uint64_t>((most - least).count()))));
   };
   std::vector<ScheduledFault> faults;
+  const std::size_t kinds =
+      kFaults.size() - (options.m_restores_log ? 0 : kOptionalFaults);
   while (faults.size() < options.m_faults) {
-    ScheduledFault fault{.m_kind = kFaults[below(kFaults.size())].first,
+    ScheduledFault fault{.m_kind = kFaults[below(kinds)].first,
                          .m_node = below(options.m_nodes)};
+    if (options.m_restores_log && faults.empty()) {
+      fault.m_kind = FaultKind::kLogRestored;
+    }
     fault.m_other =
         (fault.m_node + 1 + below(options.m_nodes - 1)) % options.m_nodes;
     fault.m_begin = span({}, options.m_span);
@@ -152,6 +169,13 @@
     }
   }
   ClearNetworkAndLogFaults();
+  if (m_options.m_restores_log && m_options.m_seed % kSeedsPerFinalLoss == 0) {
+    LoseAllNodes();
+    if (!m_cluster.WaitUntil([&] { return m_cluster.ForceDownLostMembers(); },
+                             kRecoveryTimeout)) {
+      return "lost members were not removed after the loss of all nodes";
+    }
+  }
   if (!m_cluster.WaitReady(kRecoveryTimeout)) {
     return "not all nodes became ready again after the faults";
   }
@@ -211,6 +235,13 @@
     case FaultKind::kLogLosesReplies:
       m_cluster.SetLogFaults("lose_replies=5");
       break;
+    case FaultKind::kLogRestored:
+      m_cluster.SetLogFaults("copy=1");
+      break;
+    case FaultKind::kSilentConnections:
+      m_cluster.SilenceConnections(m_cluster.HostOf(node), "*");
+      m_cluster.SilenceConnections("*", Link("node-", node));
+      break;
   }
 }
 
@@ -256,7 +287,11 @@
     case FaultKind::kLogLosesReplies:
       m_cluster.SetLogFaults("lose_replies=0");
       break;
+    case FaultKind::kLogRestored:
+      RestoreLog(fault.m_other % 2 == 1);
+      break;
     case FaultKind::kResetConnections:
+    case FaultKind::kSilentConnections:
       break;
   }
 }
@@ -271,9 +306,39 @@
   m_cluster.StartNode(node);
 }
 
+void Soak::RestoreLog(bool is_repeated) {
+  m_cluster.SetLogFaults("restore=1");
+  if (is_repeated) {
+    m_cluster.RunFor(kRepeatedRestoreDelay);
+    m_cluster.SetLogFaults("restore=1");
+  }
+}
+
+// The log is restored while the nodes start, or before all are lost.
+void Soak::LoseAllNodes() {
+  const bool is_restored_first = m_options.m_seed % 2 == 0;
+  m_cluster.SetLogFaults("copy=1");
+  m_cluster.RunFor(kFinalCopyAge);
+  if (is_restored_first) {
+    RestoreLog(false);
+    m_cluster.RunFor(kStartDelay);
+  }
+  for (std::size_t node = 0; node < m_options.m_nodes; ++node) {
+    m_cluster.KillNode(node);
+  }
+  for (std::size_t node = 0; node < m_options.m_nodes; ++node) {
+    m_cluster.StartNode(node);
+  }
+  if (!is_restored_first) {
+    m_cluster.RunFor(kStartDelay);
+    RestoreLog(true);
+  }
+}
+
 void Soak::ClearNetworkAndLogFaults() {
   for (const ScheduledFault& fault : m_schedule) {
-    if (!IsProcessFault(fault.m_kind)) {
+    if (!IsProcessFault(fault.m_kind) &&
+        fault.m_kind != FaultKind::kLogRestored) {
       EndFault(fault);
     }
   }
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -19,6 +19,9 @@
   std::size_t m_faults = 12;
   /// Time span, from the start of the load, in which faults begin.
   core::Duration m_span = std::chrono::seconds(10);
+  /// Whether restores of the log and silent connections are drawn too. Without
+  /// them, a seed draws what it drew before these kinds were added.
+  bool m_restores_log = false;
   /// Requests per second.
   double m_rate = 150;
 };
@@ -39,6 +42,9 @@
   kLogDown,
   kLogSlow,
   kLogLosesReplies,
+  /// A copy is taken at the begin, and the log returns to it at the end.
+  kLogRestored,
+  kSilentConnections,
 };
 
 /// \brief One scheduled fault; times count from the start of the load.
@@ -84,7 +90,9 @@
   void BeginFault(const ScheduledFault& fault);
   void EndFault(const ScheduledFault& fault);
   void RestartStoppedNode(std::size_t node);
+  void RestoreLog(bool is_repeated);
   void ClearNetworkAndLogFaults();
+  void LoseAllNodes();
   [[nodiscard]] std::string CheckInvariants() const;
   [[nodiscard]] bool ServesAllKeys();
 
--- a/tests/soak_main.cc
+++ b/tests/soak_main.cc
@@ -49,13 +49,16 @@
                                       false, 12, "COUNT", command);
   TCLAP::ValueArg<std::size_t> nodes("m", "nodes", "Nodes, 3 to 60", false, 8,
                                      "COUNT", command);
+  TCLAP::SwitchArg restores(
+      "r", "restores", "Also restore the log and silence connections", command);
   command.parse(argc, argv);
   std::uint64_t failed = 0;
   for (std::uint64_t seed = first.getValue();
        seed < first.getValue() + count.getValue(); ++seed) {
     const SoakOptions options{.m_seed = seed,
                               .m_nodes = nodes.getValue(),
-                              .m_faults = faults.getValue()};
+                              .m_faults = faults.getValue(),
+                              .m_restores_log = restores.getValue()};
     failed += RunSeed(options) ? 0 : 1;
   }
   std::cout << count.getValue() - failed << " passed, " << failed
