Remove the members that a process was before, once a restored log knows them

Where a restore had lost the newest watcher sets, most processes forgot their identity at once and joined anew. Their former ids stayed members that only watched each other, with no process left to vote them down, and kept their share of the slices; a second restore brought back ids that had been removed. A process now removes its former ids itself after each restore, as it no longer serves under them; a routed node's new member replaces the former one already.

--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -347,6 +347,8 @@
   void RequestReload(Now now, Position peer_next);
   [[nodiscard]] bool IsEraSettled() const;
   void ReviewEra(Now now);
+  /// \brief Removes the members that this process was before.
+  void RemoveFormerIds(Now now);
 
   void ReportStateChange(StateChanged change);
   void ApplyEntry(Now now, const LogEntry& entry);
@@ -411,6 +413,8 @@
   Time m_next_balance{};
 
   std::map<AppendId, PendingAppend> m_appends;
+  /// Ids that this process had as a member before the present one.
+  std::vector<MemberId> m_former_ids;
   std::deque<LogEntry> m_recent_entries;
   std::deque<ProgressMark> m_progress_marks;
   Era m_log_era = 0;
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -220,6 +220,7 @@
 
 void Node::HandleNewIdentity(Now now, MemberId id) {
   m_identity_lost = false;
+  m_former_ids.push_back(m_settings.m_self.m_id);
   m_settings.m_self.m_id = id;
   m_ownership = Ownership(id);
   m_ownership.set_may_have_unknown_holders(!IsEraSettled());
--- a/core/src/node_era.cc
+++ b/core/src/node_era.cc
@@ -81,9 +81,28 @@
     ForgetIdentity();
     m_actions.emplace_back(IdentityLost{});
   }
+  RemoveFormerIds(now);
   AfterApply(now);
 }
 
+// Members that forget their identity at the same time leave nobody who could
+// vote the former ones down, and a restored log may know former ones again. A
+// routed node's new member replaces the former one instead.
+void Node::RemoveFormerIds(Now now) {
+  if (m_settings.m_is_routed) {
+    return;
+  }
+  std::vector<MemberId> known = m_former_ids;
+  if (m_identity_lost) {
+    known.push_back(m_settings.m_self.m_id);
+  }
+  for (MemberId id : known) {
+    if (m_state.FindMember(id) != nullptr) {
+      Append(now, ForceDownRecord{id});
+    }
+  }
+}
+
 // Whoever held keys by lost records has heard of the new era, or lost its
 // lease, once a reader that lags behind and the pledges to it have timed out.
 void Node::ReviewEra(Now now) {
