--- a/core/src/ownership.cc
+++ b/core/src/ownership.cc
@@ -161,6 +161,8 @@
   return it != releases->second.end() && it->second >= previous.m_taken_at;
 }
 
+// Until a record has begun the new era, the restored state has a fencing token
+// from before the lost records.
 Position Ownership::EpochOf(SliceIndex slice) const {
   const LocalSlice& local = LocalOf(slice);
   return std::max(local.m_slice.m_epoch, local.m_min_epoch);
