Treat every later era as one after a restore

Two members served one slice after a restore to a copy from before the first join. A process that had started after the restore wrote the era's record without saying that it follows one, since it had not seen the former era itself. A log without holders was then settled at once, while a member of the lost records that could not reach the log still held its lease.

Only the first era that a log names can be without earlier holders; the record of any later one follows a restore. This takes it that a log counts from 1. If it counts from 0, the constant has to be 0.

--- a/core/src/node_era.cc
+++ b/core/src/node_era.cc
@@ -17,6 +17,9 @@
 constexpr Duration kEraAppendInterval = std::chrono::seconds(2);
 /// Min time between two reads of the whole log on behalf of a peer.
 constexpr Duration kReloadInterval = std::chrono::milliseconds(500);
+/// The first era that a log names. In a later one holders may be left that only
+/// lost records had named, even if this process started after the restore.
+constexpr Era kFirstEra = 1;
 
 }  // namespace
 
@@ -105,7 +108,7 @@
   if (is_begun) {
     Append(now, EraSettledRecord{m_state.era()});
   } else {
-    Append(now, EraRecord{m_log_era, m_was_restored});
+    Append(now, EraRecord{m_log_era, m_was_restored || m_log_era > kFirstEra});
   }
 }
 
