Keep the fence of a slice that stays ready after a restore

A member that had a slice at 5, lost it to another at 30 and took it again at 60 keeps it across a restore to a copy that knows only the first. Until the era's record it then dispatched at 5, which a target that has seen 30 refuses. The state of the log overwrote the local fence. It is now the greater of both.

--- a/core/src/ownership.cc
+++ b/core/src/ownership.cc
@@ -12,13 +12,14 @@
     m_local.resize(service.m_slices.size());
   }
   for (SliceIndex i = 0; i < service.m_slices.size(); ++i) {
-    const Slice& next = service.m_slices[i];
     LocalSlice& local = m_local[i];
-    if (next == local.m_slice) {
+    if (service.m_slices[i] == local.m_slice) {
       continue;
     }
+    Slice next = service.m_slices[i];
     local.m_is_continued &= next.m_owner == m_self;
     if (local.m_is_continued) {
+      next.m_epoch = std::max(next.m_epoch, local.m_slice.m_epoch);
       local.m_covered_loss = next.m_lost_at;
     } else {
       CoverRemovedHolders(wall, i, next);
@@ -39,7 +40,9 @@
 }
 
 // While this member holds its lease and has not released a slice, nobody else
-// can have been given it, by lost records either.
+// can have been given it, by lost records either. Its fence never goes back:
+// lost records may have given the slice to others before this member took it
+// again.
 void Ownership::OnRestored(Time now,
                            const Service* service,
                            bool is_lease_valid) {
@@ -48,10 +51,13 @@
       service == nullptr ? none : service->m_slices;
   m_local.resize(std::max(m_local.size(), slices.size()));
   for (SliceIndex i = 0; i < m_local.size(); ++i) {
-    const Slice next = i < slices.size() ? slices[i] : Slice{};
+    Slice next = i < slices.size() ? slices[i] : Slice{};
     const bool was_ready =
         is_lease_valid && StatusOf(now, i) == SliceStatus::kReady;
     m_local[i].m_is_continued = was_ready && next.m_owner == m_self;
+    if (m_local[i].m_is_continued) {
+      next.m_epoch = std::max(next.m_epoch, EpochOf(i));
+    }
     Classify(i, next);
     m_local[i].m_slice = next;
   }
