Draw restores of the log in the walk, and test eras

The walk did not restore the log, so nothing showed whether fences and ownership hold across a copy. Processes follow as LogFollower does: a page of a later era, or one that ends before the requested offset, and ReloadLog make them read the state aside; pages of earlier reads are dropped. Appends on their way arrive in the new era; a client that knows a later era drops those of an earlier one. New check: a slice is dispatched at a fence above every one at which another member dispatched it.

Profiles: a restored log holds older ones, so 'never replaced by an older version' now holds within an era, from the version in the copy on. Added: a process has only profiles that the log of its era has held (which found the checkpoints of lost records), and at the end the log has the profile that operators published last, which they publish again after a restore.

--- a/core/tests/simulation.h
+++ b/core/tests/simulation.h
@@ -23,6 +23,8 @@
   bool m_partitions = true;
   bool m_log_outages = true;
   bool m_truncation = true;
+  /// Whether the log comes back from older copies.
+  bool m_restores = true;
   bool m_operators = true;
   bool m_drains = true;
   /// Maximum deviation of a process's clock rate from 1, in either direction.
@@ -53,6 +55,8 @@
     return m_forced_removals;
   }
   [[nodiscard]] std::uint64_t owner_changes() const { return m_owner_changes; }
+  /// \brief Number of times that the log was restored from a copy.
+  [[nodiscard]] std::uint64_t restores() const { return m_restores; }
 
  private:
   struct Process {
@@ -64,6 +68,13 @@
     std::int64_t m_partitioned_until = 0;
     std::int64_t m_log_unreachable_until = 0;
     bool m_is_following = false;
+    /// Latest era that an answer of the log has named to this process.
+    Era m_known_era = 0;
+    /// Whether the state is being read again, since the log was restored.
+    bool m_is_rebuilding = false;
+    /// Number of the current series of reads; pages of earlier ones are
+    /// dropped.
+    std::uint64_t m_read_series = 0;
     std::map<std::string, std::uint64_t> m_seen_versions;
     std::uint64_t m_next_work = 1;
   };
@@ -82,6 +93,28 @@
     std::string m_key;
     int m_attempts = 0;
   };
+  /// The log's answer to a read.
+  struct LogPage {
+    Era m_era = 0;
+    Offset m_first = 0;
+    Offset m_from = 0;
+    Offset m_next = 0;
+    std::uint64_t m_read_series = 0;
+    std::vector<LogEntry> m_entries;
+  };
+  /// Bounds of the log when a copy was taken.
+  struct LogCopy {
+    std::int64_t m_at = 0;
+    Offset m_first = 0;
+    Offset m_next = 0;
+  };
+  /// The highest fence at which a slice was dispatched, and the highest one of
+  /// any member but that one.
+  struct UsedFences {
+    MemberId m_member = kNoMember;
+    Position m_highest = 0;
+    Position m_highest_of_others = 0;
+  };
   struct WorkOrigin {
     std::size_t m_process = 0;
     std::uint64_t m_incarnation = 0;
@@ -98,6 +131,22 @@
   void ReadLog(std::size_t process);
   void StartProcess(std::size_t process);
   void StartFromCheckpoint(std::size_t process);
+  void OnLogPage(std::size_t process, const LogPage& page);
+  void StartRebuild(std::size_t process);
+  void ReadRestoredState(std::size_t process);
+  void FinishRebuild(std::size_t process,
+                     Era era,
+                     Offset first,
+                     ControlState state);
+  [[nodiscard]] std::optional<ControlState> NewestCheckpoint() const;
+  void TakeCopy();
+  void TrimLog();
+  void RestoreSoon();
+  void RestoreLog();
+  void RepublishProfile();
+  void NoteProfile();
+  void CheckFence(MemberId member, const Fence& fence);
+  void CheckProfiles(Process& process);
   void InjectFault();
   void AppendConcurrentOperatorRecords();
   void ForceDownStrandedMembers();
@@ -142,7 +191,17 @@
   std::vector<LogEntry> m_log;
   Offset m_log_first = 0;
   std::int64_t m_log_down_until = 0;
+  /// A log that is never restored names no era.
+  Era m_log_era = 0;
+  std::uint64_t m_restores = 0;
+  std::vector<LogCopy> m_log_copies;
   std::map<std::string, std::uint64_t> m_latest_versions;
+  /// Every profile that the log has held, by era and version.
+  std::map<std::pair<Era, std::uint64_t>, Profile> m_logged_profiles;
+  /// Version of the profile in the copy that each era began with.
+  std::map<Era, std::uint64_t> m_restored_versions;
+  /// The profile that operators published last with effect.
+  Profile m_operators_profile;
   ControlState m_reference;
 
   std::map<std::pair<std::size_t, WorkId>, WorkOrigin> m_work;
@@ -151,6 +210,7 @@
   std::map<RequestId, int> m_executions;
   std::set<RequestId> m_reported_not_run;
   std::map<SliceIndex, MemberId> m_last_owner;
+  std::map<SliceIndex, UsedFences> m_used_fences;
   std::uint64_t m_execution_count = 0;
   std::uint64_t m_removals = 0;
   std::uint64_t m_owner_changes = 0;
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -13,6 +13,10 @@
 
 constexpr std::uint64_t kSeed = 5;
 constexpr int kRounds = 3000;
+/// Stated in docs/PROTOCOL.md.
+constexpr std::size_t kMaxDatagramBytes = 64;
+constexpr core::Era kLargeEra = 1000;
+constexpr core::Offset kLargeOffset = 100'000'000;
 
 core::ControlState SampleState() {
   core::ControlState state;
@@ -69,6 +73,47 @@
   LONGS_EQUAL(state->next(), record->m_next);
 }
 
+TEST(Codec, ACheckpointKeepsItsEraAndWhetherItIsSettled) {
+  core::ControlState state = SampleState();
+  for (core::Record record :
+       {core::Record(core::EraRecord{kLargeEra, true}),
+        core::Record(core::EraSettledRecord{kLargeEra})}) {
+    state.Apply(
+        {state.next(), core::AppendId{state.next() + 1}, std::move(record)});
+    const auto shared = std::make_shared<const core::ControlState>(state);
+    const auto entry = ParseRecord(
+        7, EncodeRecord(core::AppendId{8},
+                        core::CheckpointRecord{state.next(), shared}));
+    const auto* read = std::get_if<core::CheckpointRecord>(&entry.m_record);
+    CHECK(read != nullptr);
+    CHECK(*read->m_state == state);
+    LONGS_EQUAL(kLargeEra, read->m_state->era());
+    CHECK(read->m_state->is_era_settled() == state.is_era_settled());
+  }
+  CHECK(state.is_era_settled());
+}
+
+TEST(Codec, EveryDatagramStaysWithinItsBoundWithLargeNumbers) {
+  const core::MemberId id{0x8877665544332211};
+  const core::Position position = core::MakePosition(kLargeEra, kLargeOffset);
+  const core::Time sent_at{std::chrono::hours(24 * 365)};
+  const core::Heartbeat heartbeat{id,       kLargeEra, kLargeEra + 1, sent_at,
+                                  position, position,  kLargeOffset};
+  const core::HeartbeatAck ack{id,          id,   kLargeEra, kLargeEra + 1,
+                               sent_at,     true, position,  position,
+                               kLargeOffset};
+  const core::ReadReport report{id, position, kLargeOffset};
+  for (const core::Datagram& datagram :
+       {core::Datagram(heartbeat), core::Datagram(ack),
+        core::Datagram(report)}) {
+    const std::string bytes = EncodeDatagram(datagram);
+    CHECK(bytes.size() <= kMaxDatagramBytes);
+    const auto read = ParseDatagram(bytes);
+    CHECK(read.has_value());
+    LONGS_EQUAL(datagram.index(), read->index());
+  }
+}
+
 TEST(Codec, AttemptRoundTrips) {
   const auto frame = ParseFrame(SampleFrame(), "body");
   CHECK(frame.has_value());
