--- a/core/src/node_era.cc
+++ b/core/src/node_era.cc
@@ -20,6 +20,9 @@
 constexpr Duration kReloadTimeout = std::chrono::milliseconds(1500);
 /// Min time between two reads of the whole log on behalf of a peer.
 constexpr Duration kReloadInterval = std::chrono::milliseconds(500);
+/// The first era that a log names. In a later one holders may be left that only
+/// lost records had named, even if this process started after the restore.
+constexpr Era kFirstEra = 1;
 
 }  // namespace
 
@@ -141,7 +144,7 @@
   if (is_begun) {
     Append(now, EraSettledRecord{m_state.era()});
   } else {
-    Append(now, EraRecord{m_log_era, m_was_restored});
+    Append(now, EraRecord{m_log_era, m_was_restored || m_log_era > kFirstEra});
   }
 }
 
