Bound the slices and times that a message may name

Cause: a checkpoint record of a few KiB could repeat a slice with many previous holders 16,384 times, 100 MB and more; times in frames near the ends of 64 bits made sums beyond the clock's range; a request id of an unknown slice was written beyond the table.

No test covers the slice of a request id.

--- a/core/src/ownership.cc
+++ b/core/src/ownership.cc
@@ -135,7 +135,13 @@
 
 // It is unknown which requests a lost holder executed, so every request with an
 // id created before the loss may have been executed.
+//
+// An id of a slice that is not known cannot be kept, so its request may be a
+// copy.
 bool Ownership::InsertId(SliceIndex slice, const RequestId& id) {
+  if (slice >= m_local.size()) {
+    return false;
+  }
   LocalSlice& local = m_local[slice];
   if (local.m_slice.m_lost_at > local.m_covered_loss) {
     m_ids.RaiseUnknownBefore(slice, local.m_lost_wall_time);
--- a/core/tests/parts_test.cc
+++ b/core/tests/parts_test.cc
@@ -225,4 +225,45 @@
   CHECK(liveness.Review(At(9600)) == LivenessAction::kClose);
 }
 
+// Records of another writer: each has a value out of range, and none may change
+// more than it names.
+TEST(Parts, RecordsWithValuesOutOfRangeChangeNothing) {
+  constexpr std::uint32_t max = 0xffffffff;
+  constexpr Offset max_offset = ~Offset{0};
+  ControlState state;
+  MemberInfo info{.m_id = kA, .m_service = "orders", .m_slots = 2};
+  state.Apply(Entry(0, JoinRecord{info, {kA}}));
+  state.Apply(Entry(1, WeightRecord{kA, 8}));
+  const auto members = state.members();
+  const auto slices = state.services().at("orders").m_slices;
+  const std::vector<Record> records = {
+      JoinRecord{MemberInfo{.m_service = "orders"}, {}},
+      JoinRecord{info, {}},
+      WeightRecord{kA, max},
+      WeightRecord{kB, 8},
+      WatchersRecord{kA, max, {kB}},
+      VoteRecord{kB, kA, 1, true},
+      VoteRecord{kA, kB, max, false},
+      DrainRecord{MemberId{~0ULL}},
+      LeaveRecord{kNoMember},
+      ReleaseRecord{kA, max_offset, {max, kMaxSlicesPerService}},
+      MoveRecord{kA, kA, max_offset, {max}},
+      MoveRecord{kA, kB, max_offset, {0}},
+      ProfileRecord{{.m_name = "orders", .m_max_attempts = max}, max_offset},
+      ExclusionRecord{ExclusionKind::kDomain, "\xff", true, max_offset},
+      ForceDownRecord{kB},
+      UnreadableRecord{}};
+  for (const Record& record : records) {
+    state.Apply(Entry(state.next(), record));
+  }
+  CHECK(state.members() == members);
+  CHECK(state.services().at("orders").m_slices == slices);
+  info.m_id = kB;
+  info.m_service = "wide";
+  info.m_slice_count = max;
+  state.Apply(Entry(state.next(), JoinRecord{info, {}}));
+  LONGS_EQUAL(kMaxSlicesPerService,
+              state.services().at("wide").m_slices.size());
+}
+
 }  // namespace figlug::core
--- a/wire/include/figlug/wire/impl/message_bytes.h
+++ b/wire/include/figlug/wire/impl/message_bytes.h
@@ -15,10 +15,20 @@
 
 #include <tl/expected.hpp>
 
+#include "figlug/core/time.h"
 #include "figlug/wire/wire_error.h"
 
 namespace figlug::wire::impl {
 
+/// Longest time that a message may name. Sums with the present time stay far
+/// from the ends of the clock's range.
+inline constexpr core::Duration kMaxSpan = std::chrono::hours(24);
+
+/// \brief Reads a time in microseconds, bounded to kMaxSpan.
+inline core::Duration ReadSpan(std::int64_t us) {
+  return std::clamp(core::Duration(us), -kMaxSpan, kMaxSpan);
+}
+
 /// \brief Serializes a message.
 inline std::string ToBytes(capnp::MessageBuilder& message) {
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -231,11 +231,12 @@
   frame.m_head.m_slice = head.getSlice();
   frame.m_head.m_request_id = Read(head.getRequestId());
   frame.m_head.m_has_caller_id = head.getHasCallerId();
-  frame.m_head.m_time_left = Duration(head.getTimeLeftUs());
+  frame.m_head.m_time_left = impl::ReadSpan(head.getTimeLeftUs());
   frame.m_head.m_priority = head.getPriority();
-  frame.m_head.m_max_queue_wait = Duration(head.getPatienceUs());
-  frame.m_head.m_target_latency = Duration(head.getTargetLatencyUs());
-  frame.m_head.m_target_latency_left = Duration(head.getTargetLatencyLeftUs());
+  frame.m_head.m_max_queue_wait = impl::ReadSpan(head.getPatienceUs());
+  frame.m_head.m_target_latency = impl::ReadSpan(head.getTargetLatencyUs());
+  frame.m_head.m_target_latency_left =
+      impl::ReadSpan(head.getTargetLatencyLeftUs());
   frame.m_request.m_method = Text(in.getMethod());
   frame.m_request.m_path = Text(in.getPath());
   frame.m_request.m_headers = Read(in.getHeaders());
@@ -261,7 +262,7 @@
   frame.m_response.m_body = body;
   const auto load = in.getLoad();
   frame.m_load = {load.getRunning(), load.getQueued(), load.getSlots(),
-                  Duration(load.getServiceUs())};
+                  impl::ReadSpan(load.getServiceUs())};
   return frame;
 }
 
--- a/wire/src/log_codec.cc
+++ b/wire/src/log_codec.cc
@@ -126,13 +126,13 @@
   profile.m_max_attempts = in.getMaxAttempts();
   profile.m_retry_percent = in.getRetryPercent();
   profile.m_hedge_percent = in.getHedgePercent();
-  profile.m_deadline = Duration(in.getDeadlineUs());
-  profile.m_queue_wait = Duration(in.getQueueWaitUs());
+  profile.m_deadline = impl::ReadSpan(in.getDeadlineUs());
+  profile.m_queue_wait = impl::ReadSpan(in.getQueueWaitUs());
   profile.m_queue_length = in.getQueueLength();
-  profile.m_warm_up = Duration(in.getWarmUpUs());
+  profile.m_warm_up = impl::ReadSpan(in.getWarmUpUs());
   profile.m_cold_limit = in.getColdLimit();
   profile.m_max_limit = in.getMaxLimit();
-  profile.m_takeover_wait = Duration(in.getTakeoverWaitUs());
+  profile.m_takeover_wait = impl::ReadSpan(in.getTakeoverWaitUs());
   return profile;
 }
 
@@ -254,8 +254,27 @@
                    : core::ExclusionKind::kTarget;
 }
 
+/// Memory for the slices of a checkpoint: a hundred services of 8,192 slices
+/// take about half of it. A few bytes of a record could ask for any amount.
+constexpr std::size_t kMaxSliceBytes = 64U << 20;
+
+// Appends the copies that an entry stands for, unless they exceed the budget.
+void AppendSlices(schema::Slice::Reader in,
+                  std::vector<core::Slice>& out,
+                  std::size_t& budget) {
+  const std::size_t count = std::min<std::size_t>(
+      in.getCount(), core::kMaxSlicesPerService - out.size());
+  const std::size_t bytes =
+      count * (sizeof(core::Slice) +
+               in.getPriors().size() * sizeof(core::PreviousHolder));
+  KJ_REQUIRE(bytes <= budget, "checkpoint has too many slices");
+  budget -= bytes;
+  out.insert(out.end(), count, Read(in));
+}
+
 core::ControlState Read(schema::ControlState::Reader in) {
   core::ControlState::Snapshot snapshot;
+  std::size_t budget = kMaxSliceBytes;
   snapshot.m_next = in.getNext();
   for (auto member : in.getMembers()) {
     snapshot.m_members[MemberId(member.getInfo().getId())] = Read(member);
@@ -264,11 +283,7 @@
     core::Service& entry = snapshot.m_services[Text(service.getName())];
     entry.m_profile = Text(service.getProfile());
     for (auto slice : service.getSlices()) {
-      const std::size_t remaining =
-          core::kMaxSlicesPerService - entry.m_slices.size();
-      entry.m_slices.insert(entry.m_slices.end(),
-                            std::min<std::size_t>(slice.getCount(), remaining),
-                            Read(slice));
+      AppendSlices(slice, entry.m_slices, budget);
     }
   }
   for (auto profile : in.getProfiles()) {
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -13,6 +13,7 @@
 
 constexpr std::uint64_t kSeed = 5;
 constexpr int kRounds = 3000;
+constexpr std::size_t kManyHolders = 400;
 
 core::ControlState SampleState() {
   core::ControlState state;
@@ -98,6 +99,47 @@
   CHECK(std::holds_alternative<core::UnreadableRecord>(entry.m_record));
 }
 
+// Guards against a record of a few KiB that takes all memory: it repeats one
+// slice, which has many previous holders, thousands of times.
+TEST(Codec, ACheckpointWithTooManySlicesIsUnreadable) {
+  core::Slice slice;
+  slice.m_previous_holders.resize(kManyHolders, {core::MemberId{1}, 1});
+  core::ControlState::Snapshot snapshot;
+  snapshot.m_services["orders"].m_slices.resize(core::kMaxSlicesPerService,
+                                                slice);
+  const std::string record = EncodeRecord(
+      core::AppendId{8},
+      core::CheckpointRecord{
+          9, std::make_shared<const core::ControlState>(
+                 core::ControlState::FromSnapshot(std::move(snapshot)))});
+  CHECK(record.size() < 32 * kManyHolders);
+  CHECK(std::holds_alternative<core::UnreadableRecord>(
+      ParseRecord(0, record).m_record));
+}
+
+// Guards against sums of a time from a message and the present time that exceed
+// the range of the clock.
+TEST(Codec, TimesOutOfRangeAreBounded) {
+  for (const core::Duration span :
+       {core::Duration::max(), core::Duration::min()}) {
+    AttemptFrame frame;
+    frame.m_head.m_time_left = span;
+    frame.m_head.m_max_queue_wait = span;
+    frame.m_head.m_target_latency = span;
+    frame.m_head.m_target_latency_left = span;
+    const auto parsed =
+        ParseFrame(EncodeFrameHead(frame).substr(kFramePrefixBytes), "");
+    CHECK(parsed.has_value());
+    const core::AttemptHead& head = std::get<AttemptFrame>(*parsed).m_head;
+    for (const core::Duration read :
+         {head.m_time_left, head.m_max_queue_wait, head.m_target_latency,
+          head.m_target_latency_left}) {
+      CHECK(read <= std::chrono::hours(24));
+      CHECK(read >= -std::chrono::hours(24));
+    }
+  }
+}
+
 TEST(Codec, RejectsFrameLengthsOutOfRange) {
   CHECK(!ParseFramePrefix(std::string(8, '\xff')));
   CHECK(!ParseFramePrefix(std::string(8, '\0')));
