Take no target from a report of another service or of the future

Cause: a heartbeat that names another service, or a start far in the future, was taken as the target beside the process; the real target's heartbeats then counted as outdated until the process ended.

Evidence: RoutedNode.AReportOfAnotherWriterHasNoEffect failed on the old code.

Spans replace bytes that are not UTF-8.

--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -198,6 +198,11 @@
                            ViewForIngress(), m_actions);
     Deliver(sink);
   }
+  /// \brief Why a report cannot be of the target beside this process; empty if
+  /// it can. Such a report has no effect.
+  [[nodiscard]] std::string_view ForeignReportReason(
+      Now now,
+      const TargetReport& report) const;
   /// \brief Begins a graceful stop; ReadyToStop ends it.
   template <ActionSink Sink>
   void OnStop(Now now, Sink&& sink) {
--- a/core/src/node_target.cc
+++ b/core/src/node_target.cc
@@ -36,6 +36,8 @@
 /// wait.
 constexpr std::uint32_t kGateQueueLength = 1024;
 
+/// A target's clock and this process's may differ by less than this.
+constexpr std::chrono::hours kMaxStartLead{24};
 /// Requests per second that a target gets at least, whatever limit it names.
 constexpr double kMinRateLimit = 0.25;
 
@@ -55,8 +57,22 @@
          report.m_sequence <= m_target.m_sequence;
 }
 
+// Another writer's report may name any service. A start far in the future would
+// make every later report of the real target count as outdated.
+std::string_view Node::ForeignReportReason(Now now,
+                                           const TargetReport& report) const {
+  if (report.m_service != m_settings.m_self.m_service) {
+    return "service is not that of this target";
+  }
+  if (report.m_start_ms >
+      (now.m_wall + kMaxStartLead).time_since_epoch().count()) {
+    return "start of the target lies in the future";
+  }
+  return {};
+}
+
 HoldGrant Node::HandleTargetReport(Now now, const TargetReport& report) {
-  if (IsStale(report)) {
+  if (!ForeignReportReason(now, report).empty() || IsStale(report)) {
     return {};
   }
   if (report.m_start_ms != m_target.m_start_ms) {
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -85,6 +85,24 @@
   CHECK(self.IsDispatched(self.Attempt("catalogue", 3)));
 }
 
+// Guards against another writer's report, after which the real target's reports
+// count as outdated or its gate gets another service's target.
+TEST(RoutedNode, AReportOfAnotherWriterHasNoEffect) {
+  RoutedNode self("catalogue");
+  self.Start();
+  self.Report();
+  self.Settle();
+  TargetReport other = self.MakeReport({}, false, {}, 2000);
+  other.m_service = "orders";
+  TargetReport late = self.MakeReport({}, false, {}, (1LL << 53) - 1);
+  for (const TargetReport& report : {other, late}) {
+    CHECK_FALSE(self.node()
+                    .OnTargetReport(self.At(), report, [](Action&&) {})
+                    .m_is_granted);
+  }
+  CHECK(self.Report().m_is_granted);
+}
+
 TEST(RoutedNode, AReportThatArrivesOutOfOrderRenewsNoHold) {
   RoutedNode self("catalogue");
   self.Start();
--- a/runtime/src/span_writer.cc
+++ b/runtime/src/span_writer.cc
@@ -41,7 +41,8 @@
       {"outcome", core::ToString(span.m_outcome)},
       {"reason", core::ToString(span.m_reason)},
   };
-  m_file << line.dump() << '\n';
+  m_file << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+         << '\n';
 }
 
 }  // namespace figlug::runtime
