Answer every request that was read before a process ends

Cause: whether calls are still taken was decided in the next review, after a pause too late; calls open at the end were left without an answer; and the loop was stopped at once, though it writes responses one iteration after they are given.

Change: times are compared when a call is read; no attempt is sent after 0.6 of the stop; no call outlasts it, and one read during it is passed on with that deadline; then nothing more is read and what is left is written for at most 100 ms.

--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -45,6 +45,16 @@
 /// \brief Retry-After sent to callers while no configuration is loaded.
 inline constexpr Duration kNoRoutingRetryAfter = std::chrono::milliseconds(500);
 
+/// \brief Times of a graceful stop of this process; kNever while it goes on.
+struct StopTimes {
+  /// From here on, no call is accepted.
+  Time m_no_calls_from = kNever;
+  /// From here on, no attempt is sent: it might not end in time.
+  Time m_no_attempts_from = kNever;
+  /// By then, every call must have been answered.
+  Time m_ends_at = kNever;
+};
+
 /// \brief State outside the ingress that its decisions depend on.
 struct IngressView {
   const ControlState& m_state;
@@ -58,6 +68,7 @@
   const std::set<std::string, std::less<>>* m_excluded_domains = nullptr;
   /// Whether this process is shutting down and accepts no new calls.
   bool m_refuses_new_calls = false;
+  StopTimes m_stop;
 };
 
 /// \brief Where a request would be routed, and why.
@@ -108,6 +119,8 @@
   void OnGateLoad(Time now, AttemptId attempt, const GateLoad& load);
   /// \brief Cancels a call whose caller has closed its connection.
   void OnCallerDisconnected(CallId call, Actions& out);
+  /// \brief Lets no open call last longer than until `end`.
+  void EndCallsBy(Time end);
   void OnTimer(Time now, const IngressView& view, Actions& out);
   [[nodiscard]] Time NextDeadline() const noexcept;
   /// \brief A target's utilization as its gate reported it.
--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -418,6 +418,7 @@
   Offset m_checkpointed = 0;
   Time m_checkpointed_at{};
   std::optional<Time> m_stopping_since;
+  StopTimes m_stop_times;
   bool m_leaving = false;
   bool m_stop_reported = false;
   /// Whether new calls are refused because the process is about to exit.
--- a/core/include/figlug/core/node_settings.h
+++ b/core/include/figlug/core/node_settings.h
@@ -47,6 +47,15 @@
   Duration m_drain_time_limit = std::chrono::seconds(2);
 };
 
+/// Part of a time limit after which no more work is dispatched, so that the
+/// last request arrives within the limit.
+inline constexpr double kWorkTimeRatio = 0.6;
+
+/// \brief Part of a time limit within which work may still be dispatched.
+[[nodiscard]] inline Duration WorkTimeWithin(Duration bound) {
+  return std::chrono::duration_cast<Duration>(kWorkTimeRatio * bound);
+}
+
 }  // namespace figlug::core
 
 #endif  // FIGLUG_CORE_NODE_SETTINGS_H_
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -126,7 +126,10 @@
                      const CallHead& head,
                      const IngressView& view,
                      Actions& out) {
-  if (const Reason reason = Screen(head, view); reason != Reason::kNone) {
+  // The head may have been screened before a pause of this process.
+  const Reason reason = now >= view.m_stop.m_no_calls_from ? Reason::kStopping
+                                                           : Screen(head, view);
+  if (reason != Reason::kNone) {
     out.emplace_back(FinishCall{id, Outcome::kNotRun, reason, AttemptId{0},
                                 JitteredRetryAfter(reason)});
     return;
@@ -144,7 +147,8 @@
       head.m_caller_id.value_or(MakeRequestId(wall, m_random(), m_random()));
   call.m_slice = SliceOfCall(profile, head, call.m_request_id);
   call.m_started = now;
-  call.m_deadline = now + head.m_deadline.value_or(profile.m_deadline);
+  call.m_deadline = std::min(now + head.m_deadline.value_or(profile.m_deadline),
+                             view.m_stop.m_ends_at);
   ServiceState& service = m_services[head.m_service];
   service.m_retry_budget.Deposit(profile.m_retry_percent);
   service.m_hedge_budget.Deposit(profile.m_hedge_percent);
@@ -162,7 +166,8 @@
   call.m_started = now;
   const Duration wanted =
       call.m_head.m_deadline.value_or(route.m_profile.m_deadline);
-  call.m_deadline = now + std::min(wanted, route.m_timeout);
+  call.m_deadline =
+      std::min(now + std::min(wanted, route.m_timeout), view.m_stop.m_ends_at);
   ServiceState& service = m_services[call.m_head.m_service];
   service.m_retry_budget.Deposit(route.m_profile.m_retry_percent);
   service.m_hedge_budget.Deposit(route.m_profile.m_hedge_percent);
@@ -195,6 +200,11 @@
                       const IngressView& view,
                       Actions& out) {
   call.m_retry_at = kNever;
+  if (now >= view.m_stop.m_no_attempts_from) {
+    Finish(id, call.m_may_have_run ? Outcome::kUnknown : Outcome::kNotRun,
+           Reason::kStopping, AttemptId{0}, out);
+    return;
+  }
   if (call.m_route != nullptr && call.m_is_sliced) {
     const Service* service = view.m_state.FindService(call.m_head.m_service);
     const std::size_t slices =
@@ -614,6 +624,9 @@
                     const IngressView& view,
                     Actions& out) {
   call.m_hedge_at = kNever;
+  if (now >= view.m_stop.m_no_attempts_from) {
+    return;
+  }
   const Member* member = ChooseByLoad(now, call, view);
   if (member == nullptr || member->m_info.m_region != view.m_self.m_region ||
       !m_services[call.m_head.m_service].m_hedge_budget.Withdraw()) {
@@ -660,6 +673,13 @@
   out.emplace_back(FinishCall{id, outcome, reason, answered, advice});
 }
 
+void Ingress::EndCallsBy(Time end) {
+  for (auto& [id, call] : m_calls) {
+    call.m_deadline = std::min(call.m_deadline, end);
+    SetTimer(id, call);
+  }
+}
+
 void Ingress::OnTimer(Time now, const IngressView& view, Actions& out) {
   while (!m_timers.empty() && m_timers.begin()->first <= now) {
     const CallId id = m_timers.begin()->second;
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -329,6 +329,12 @@
     return;
   }
   m_stopping_since = now.m_time;
+  m_stop_times = {
+      .m_no_calls_from = now.m_time + m_settings.m_stop_admission_time,
+      .m_no_attempts_from =
+          now.m_time + WorkTimeWithin(m_settings.m_stop_limit),
+      .m_ends_at = now.m_time + m_settings.m_stop_limit};
+  m_ingress.EndCallsBy(m_stop_times.m_ends_at);
   StartDrain(now);
   m_next_review = now.m_time;
 }
@@ -666,8 +672,7 @@
   if (!m_stopping_since || m_stop_reported) {
     return;
   }
-  m_refuses_new_calls |=
-      now.m_time >= *m_stopping_since + m_settings.m_stop_admission_time;
+  m_refuses_new_calls |= now.m_time >= m_stop_times.m_no_calls_from;
   const bool is_done =
       FindSelf() == nullptr && m_gate.IsIdle() && m_ingress.open_calls() == 0 &&
       now.m_time >= *m_stopping_since + m_settings.m_min_stop_time;
@@ -735,7 +740,8 @@
 
 IngressView Node::ViewForIngress() const {
   return {m_state,         m_settings.m_self,   m_settings.m_is_routed,
-          m_routing.get(), &m_excluded_domains, m_refuses_new_calls};
+          m_routing.get(), &m_excluded_domains, m_refuses_new_calls,
+          m_stop_times};
 }
 
 bool Node::IsServing(Time now) const {
--- a/core/src/node_target.cc
+++ b/core/src/node_target.cc
@@ -12,9 +12,6 @@
 /// Members take turns before they append an exclusion by operators to the log.
 constexpr Duration kExclusionTurnInterval = std::chrono::milliseconds(150);
 constexpr std::size_t kMaxExclusionTurns = 6;
-/// Part of a time limit after which no more work is dispatched, so that the
-/// last request arrives within the limit.
-constexpr double kWorkTimeRatio = 0.6;
 /// Read pause of members that get records forwarded by their domain's reader.
 /// Watchers notify a member that is behind within one heartbeat, so this is a
 /// last resort.
@@ -41,10 +38,6 @@
 /// Requests per second that a target gets at least, whatever limit it names.
 constexpr double kMinRateLimit = 0.25;
 
-Duration WorkTimeWithin(Duration bound) {
-  return std::chrono::duration_cast<Duration>(kWorkTimeRatio * bound);
-}
-
 }  // namespace
 
 // An outdated report, from an earlier incarnation or delivered out of order,
--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -38,7 +38,9 @@
         MakeRoute("browse", "/browse/", {{"catalogue", 1}}),
         MakeRoute("order", "/order/", {{"orders", 1}}),
         MakeRoute("archive", "/archive/", {{"archive", 1}}),
-        MakeRoute("split", "/split/", {{"orders", 90}, {"archive", 10}})};
+        MakeRoute("split", "/split/", {{"orders", 90}, {"archive", 10}}),
+        MakeRoute("long", "/long/", {{"orders", 1}})};
+    routing.m_routes.back().m_timeout = std::chrono::seconds(20);
     routing.m_routes[1].m_profile.m_repeatable = false;
     return *RoutingTable::Make(std::move(routing));
   }
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -337,6 +337,96 @@
   CHECK(ends.size() == 1 && ends[0].m_outcome == Outcome::kNotRun);
 }
 
+// Guards against calls that a process reads late in its stop, after a pause,
+// and passes on although it cannot wait for the answer.
+TEST(RoutedNode, AStoppingProcessRefusesACallThatItReadsAfterAPause) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  self.node().OnStop(self.At(), [](Action&&) {});
+  self.Sleep(std::chrono::seconds(5));
+  self.ClearActions();
+  self.Call("/order/1");
+  CHECK(self.ActionsOf<SendAttempt>().empty());
+  const auto ends = self.ActionsOf<FinishCall>();
+  CHECK(ends.size() == 1 && ends[0].m_outcome == Outcome::kNotRun);
+  CHECK(ends[0].m_reason == Reason::kStopping);
+  CHECK(ends[0].m_retry_after > Duration::zero());
+}
+
+// Guards against calls that are cut without an answer when their process ends:
+// one began before the stop, one after it, and both may take 20 s.
+TEST(RoutedNode, EveryCallIsAnsweredBeforeItsProcessEnds) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  self.ClearActions();
+  self.Call("/long/1");
+  const Time stopped = self.At().m_time;
+  self.node().OnStop(self.At(), [](Action&&) {});
+  self.Call("/long/2");
+  const auto attempts = self.ActionsOf<SendAttempt>();
+  CHECK(attempts.size() == 2);
+  CHECK(attempts[0].m_head.m_time_left == std::chrono::seconds(20));
+  CHECK(attempts[1].m_head.m_time_left == std::chrono::seconds(6));
+  self.ClearActions();
+  while (self.At().m_time < stopped + milliseconds(5900)) {
+    self.Advance(milliseconds(10));
+  }
+  CHECK(self.ActionsOf<FinishCall>().empty());
+  while (self.ActionsOf<ReadyToStop>().empty() &&
+         self.At().m_time < stopped + milliseconds(6100)) {
+    self.Advance(milliseconds(10));
+  }
+  CHECK(self.ActionsOf<ReadyToStop>().size() == 1);
+  const auto ends = self.ActionsOf<FinishCall>();
+  CHECK(ends.size() == 2);
+  for (const FinishCall& end : ends) {
+    CHECK(end.m_outcome == Outcome::kUnknown);
+  }
+}
+
+// Guards against attempts that a stopping process sends so late that it must
+// cut them.
+TEST(RoutedNode, AStoppingProcessSendsNoAttemptsLate) {
+  RoutedNode self("orders");
+  self.Start({{0, AppendId{1},
+               JoinRecord{RoutedNode::OtherMember(5, "orders"), {MemberId{5}}}},
+              {1, AppendId{2}, WeightRecord{MemberId{5}, 8}},
+              {2, AppendId{3},
+               JoinRecord{RoutedNode::OtherMember(6, "orders"), {MemberId{5}}}},
+              {3, AppendId{4}, WeightRecord{MemberId{6}, 8}}});
+  self.Report();
+  self.Settle();
+  self.node().OnStop(self.At(), [](Action&&) {});
+  self.ClearActions();
+  self.Call("/long/1");
+  CHECK(self.ActionsOf<SendAttempt>().size() == 1);
+  const AttemptId attempt = self.ActionsOf<SendAttempt>()[0].m_attempt;
+  self.Sleep(std::chrono::seconds(5));
+  self.ClearActions();
+  self.EndAttempt(attempt, Outcome::kNotRun, Reason::kOverloaded);
+  CHECK(self.ActionsOf<SendAttempt>().empty());
+  const auto ends = self.ActionsOf<FinishCall>();
+  CHECK(ends.size() == 1 && ends[0].m_outcome == Outcome::kNotRun);
+}
+
+// Work that another process sends late is refused in the same way.
+TEST(RoutedNode, TheGateOfAStoppingProcessRefusesLateWork) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  self.node().OnStop(self.At(), [](Action&&) {});
+  self.Sleep(std::chrono::seconds(4));
+  const auto end = self.ResultOf(self.Attempt("orders"));
+  CHECK(end.has_value());
+  CHECK(end->m_outcome == Outcome::kNotRun);
+  CHECK(end->m_reason == Reason::kStopping);
+}
+
 TEST(RoutedNode, ACallWithoutARouteIsRefusedWithAReason) {
   RoutedNode self("orders");
   CHECK(self.node().Screen({.m_host = "shop.example", .m_path = "/order/1"}) ==
--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -155,6 +155,7 @@
     return to == m_node.self().m_peer;
   }
   void ArmTimer();
+  void StopOnceWritten();
   [[nodiscard]] core::MemberId NewMemberId();
 
   EventLoop& m_loop;
@@ -174,6 +175,9 @@
   DecisionLog m_decisions;
   Timer m_timer;
   core::Time m_timer_at = core::kNever;
+  Timer m_write_check;
+  /// End of the wait for the last responses to be written.
+  core::Time m_write_until = core::kNever;
   Metrics m_metrics;
   bool m_is_log_available = false;
   std::uint64_t m_last_work_id = 0;
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -23,6 +23,11 @@
 inline constexpr std::uint16_t kUnavailable = 503;
 inline constexpr std::size_t kBytesPerKib = 1024;
 inline constexpr std::string_view kAdminPrefix = "/figlug/";
+/// Longest wait at the end of a stop for responses to be written: less than
+/// half of the time that the platform's settings leave for the exit.
+inline constexpr core::Duration kMaxWriteTime = std::chrono::milliseconds(100);
+inline constexpr core::Duration kWriteCheckInterval =
+    std::chrono::milliseconds(2);
 
 inline core::CallId ToCallId(ExchangeId id) {
   return core::CallId(static_cast<std::uint64_t>(id));
@@ -36,6 +41,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
+// Names in records of the log are not checked for valid UTF-8.
+inline std::string ToText(const nlohmann::json& page) {
+  return page.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) +
+         "\n";
+}
+
 template <Dialect DialectType>
 bool IsAdminRequest(const wire::HttpRequest& request) {
   return DialectType::kServesAdminPages &&
@@ -136,11 +147,14 @@
       m_follower(loop, log, MakeLogHandlers()),
       m_spans(loop),
       m_decisions(settings.m_log_lines_per_second),
-      m_timer(loop, [this] {
-        m_timer_at = core::kNever;
-        HandleEvent(
-            [&](core::Now now, auto& sink) { m_node.OnTimer(now, sink); });
-      }) {}
+      m_timer(loop,
+              [this] {
+                m_timer_at = core::kNever;
+                HandleEvent([&](core::Now now, auto& sink) {
+                  m_node.OnTimer(now, sink);
+                });
+              }),
+      m_write_check(loop, [this] { StopOnceWritten(); }) {}
 
 template <LogService Log, Dialect DialectType>
 LogFollowerHandlers Daemon<Log, DialectType>::MakeLogHandlers() {
@@ -323,7 +337,7 @@
   }
   if (page == "status") {
     return impl::MakeTextResponse(impl::kOk, "application/json",
-                                  DescribeNode(m_node, now).dump(2) + "\n");
+                                  impl::ToText(DescribeNode(m_node, now)));
   }
   if (page == "metrics") {
     return impl::MakeTextResponse(impl::kOk, "text/plain; version=0.0.4",
@@ -336,7 +350,7 @@
     }
     return impl::MakeTextResponse(
         impl::kOk, "application/json",
-        DescribeRoute(m_node.state(), m_node.Explain(*head)).dump(2) + "\n");
+        impl::ToText(DescribeRoute(m_node.state(), m_node.Explain(*head))));
   }
   return impl::MakeTextResponse(impl::kNotFound, "text/plain",
                                 "no such page\n");
@@ -702,7 +716,23 @@
 
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::Perform(core::ReadyToStop&&) {
-  LOG4CPLUS_INFO(ProcessLogger(), "stopped");
+  m_front.StopReading();
+  m_write_until = ReadClocks().m_time + impl::kMaxWriteTime;
+  // Other responses of the same event may follow this action.
+  m_write_check.Set(core::Duration::zero());
+}
+
+// The loop writes responses in its next iteration, so a loop that is stopped at
+// once would drop those given in this one.
+template <LogService Log, Dialect DialectType>
+void Daemon<Log, DialectType>::StopOnceWritten() {
+  const std::size_t unsent = m_front.unsent_bytes() + m_peers.unsent_bytes();
+  if (unsent > 0 && ReadClocks().m_time < m_write_until) {
+    m_write_check.Set(impl::kWriteCheckInterval);
+    return;
+  }
+  LOG4CPLUS_INFO(ProcessLogger(),
+                 "stopped with " << unsent << " bytes not written");
   m_loop.Stop();
 }
 
--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -54,6 +54,8 @@
   /// \brief Sends a reply on the connection that its attempt came from; ignored
   /// if that connection is closed.
   void Reply(PeerConnectionId to, const wire::ReplyFrame& frame);
+  /// \brief Bytes that wait to be written to connected peers.
+  [[nodiscard]] std::size_t unsent_bytes() const;
   /// \brief Bytes sent to peers since the start.
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
 
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -102,11 +102,31 @@
     event_del(connection.m_close_event);
     event_del(connection.m_close_check);
     Write(request, response);
+    evhtp_connection_t* handle = request->conn;
     evhtp_request_resume(request);
+    if (m_is_reading_stopped && m_connections.contains(handle)) {
+      bufferevent_disable(handle->bev, EV_READ);
+    }
   }
 
   void CloseAfterResponses() { m_close_after_response = true; }
 
+  void StopReading() {
+    StopListening();
+    m_is_reading_stopped = true;
+    for (const auto& [handle, connection] : m_connections) {
+      bufferevent_disable(handle->bev, EV_READ);
+    }
+  }
+
+  std::size_t unsent_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& [handle, connection] : m_connections) {
+      bytes += evbuffer_get_length(bufferevent_get_output(handle->bev));
+    }
+    return bytes;
+  }
+
   std::size_t open_exchanges() const noexcept { return m_exchanges.size(); }
   std::size_t connections() const noexcept { return m_connections.size(); }
 
@@ -272,6 +292,7 @@
   bool m_is_listening = false;
   bool m_close_after_response = false;
   bool m_is_closing = false;
+  bool m_is_reading_stopped = false;
   std::uint64_t m_last_id = 0;
   std::unordered_map<ExchangeId, evhtp_request_t*> m_exchanges;
   std::unordered_map<evhtp_connection_t*, Connection> m_connections;
@@ -297,6 +318,14 @@
   m_impl->CloseAfterResponses();
 }
 
+void HttpServer::StopReading() {
+  m_impl->StopReading();
+}
+
+std::size_t HttpServer::unsent_bytes() const {
+  return m_impl->unsent_bytes();
+}
+
 void HttpServer::Respond(ExchangeId id, const wire::HttpResponse& response) {
   m_impl->Respond(id, response);
 }
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -94,6 +94,23 @@
     }
   }
 
+  std::size_t unsent_bytes() const {
+    std::size_t bytes = 0;
+    const auto add = [&](const Connection& connection) {
+      if (connection.m_is_connected) {
+        bytes +=
+            evbuffer_get_length(bufferevent_get_output(connection.m_stream));
+      }
+    };
+    for (const auto& [key, connection] : m_outbound) {
+      add(*connection);
+    }
+    for (const auto& [id, connection] : m_inbound) {
+      add(*connection);
+    }
+    return bytes;
+  }
+
   std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
 
  private:
@@ -245,6 +262,8 @@
     const bool is_valid = ParseFrames(input, frames);
     connection->m_impl->Deliver(*connection, std::move(frames));
     if (!is_valid) {
+      LOG4CPLUS_WARN(MemberLogger(),
+                     "connection to a peer closed: cannot parse its frames");
       connection->m_impl->Close(*connection);
       return;
     }
@@ -395,6 +414,10 @@
   m_impl->Reply(to, frame);
 }
 
+std::size_t PeerTransport::unsent_bytes() const {
+  return m_impl->unsent_bytes();
+}
+
 std::uint64_t PeerTransport::bytes_sent() const noexcept {
   return m_impl->bytes_sent();
 }
--- a/runtime/tests/http_server_test.cc
+++ b/runtime/tests/http_server_test.cc
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <string>
 #include <string_view>
 
 #include <CppUTest/TestHarness.h>
@@ -19,6 +21,7 @@
 
 constexpr core::Duration kWaitTimeout = std::chrono::seconds(10);
 constexpr std::size_t kMaxBodyBytes = 1U << 20;
+constexpr std::size_t kAnswerBytes = 10'000;
 const core::Endpoint kServerAddress = {"127.0.0.1", 7973};
 constexpr std::string_view kRequest =
     "GET /order/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
@@ -39,6 +42,17 @@
     CHECK(send(m_socket, bytes.data(), bytes.size(), 0) ==
           static_cast<ssize_t>(bytes.size()));
   }
+  /// \brief Reads what has arrived and returns its length.
+  [[nodiscard]] std::size_t Receive() const {
+    std::size_t bytes = 0;
+    std::array<char, 4096> buffer{};
+    for (ssize_t length = 0;
+         (length = recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT)) >
+         0;) {
+      bytes += static_cast<std::size_t>(length);
+    }
+    return bytes;
+  }
   /// \brief Closes the connection with a FIN.
   void Close() {
     if (m_socket >= 0) {
@@ -63,7 +77,10 @@
   Server()
       : m_server(m_loop,
                  {[](const wire::HttpRequest&) { return std::nullopt; },
-                  [this](ExchangeId, wire::HttpRequest&&) { ++m_requests; },
+                  [this](ExchangeId id, wire::HttpRequest&&) {
+                    ++m_requests;
+                    m_last_id = id;
+                  },
                   [this](ExchangeId) { ++m_disconnects; }},
                  kMaxBodyBytes) {
     CHECK(m_server.Listen(kServerAddress).has_value());
@@ -83,6 +100,13 @@
     }
     return condition();
   }
+  /// \brief Answers the last request and ends as a process does: reads nothing
+  /// more and writes what is left.
+  [[nodiscard]] bool AnswerAndEnd(std::size_t body_bytes) {
+    m_server.Respond(m_last_id, {200, {}, std::string(body_bytes, 'x')});
+    m_server.StopReading();
+    return WaitUntil([&] { return m_server.unsent_bytes() == 0; });
+  }
   [[nodiscard]] int requests() const { return m_requests; }
   [[nodiscard]] int disconnects() const { return m_disconnects; }
   [[nodiscard]] std::size_t connections() const {
@@ -92,6 +116,7 @@
  private:
   EventLoop m_loop;
   int m_requests = 0;
+  ExchangeId m_last_id{0};
   int m_disconnects = 0;
   HttpServer m_server;
 };
@@ -155,4 +180,20 @@
   }
 }
 
+// Guards against responses that are lost because the process ends before it has
+// written them, and against requests that are read then.
+TEST(HttpServer, AResponseIsWrittenBeforeTheEndAndNothingMoreIsRead) {
+  Server server;
+  Client client;
+  Client late;
+  client.Send(kRequest);
+  CHECK(server.WaitUntil(
+      [&] { return server.requests() == 1 && server.connections() == 2; }));
+  CHECK(server.AnswerAndEnd(kAnswerBytes));
+  CHECK(client.Receive() > kAnswerBytes);
+  late.Send(kRequest);
+  server.RunFor(milliseconds(100));
+  LONGS_EQUAL(1, server.requests());
+}
+
 }  // namespace figlug::runtime
