--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -208,6 +208,11 @@
                            ViewForIngress(), m_actions);
     Deliver(sink);
   }
+  /// \brief Why a report cannot be of the target beside this process; empty if
+  /// it can. Such a report has no effect.
+  [[nodiscard]] std::string_view ForeignReportReason(
+      Now now,
+      const TargetReport& report) const;
   /// \brief Begins a graceful stop; ReadyToStop ends it.
   template <ActionSink Sink>
   void OnStop(Now now, Sink&& sink) {
@@ -452,6 +457,7 @@
   Offset m_checkpointed = 0;
   Time m_checkpointed_at{};
   std::optional<Time> m_stopping_since;
+  StopTimes m_stop_times;
   bool m_leaving = false;
   bool m_stop_reported = false;
   /// Whether new calls are refused because the process is about to exit.
--- a/testing/src/log_stand_in.cc
+++ b/testing/src/log_stand_in.cc
@@ -212,7 +212,7 @@
   Stored m_stored;
   std::optional<Stored> m_copy;
   /// Number of restores.
-  core::Era m_era = 0;
+  core::Era m_era = 1;
   std::list<Reader> m_readers;
 };
 
