--- a/core/include/figlug/core/ids.h
+++ b/core/include/figlug/core/ids.h
@@ -19,8 +19,8 @@
 /// \brief Offset of a record in the log. A log that has been restored from an
 /// older copy assigns offsets again.
 using Offset = std::uint64_t;
-/// \brief Number of the log's era: 1, and one more each time that it is restored
-/// from a copy; 0 where the log names none.
+/// \brief Number of the log's era: 1, and one more each time that it is
+/// restored from a copy; 0 where the log names none.
 using Era = std::uint32_t;
 /// \brief Era and offset as one number that only increases: the fencing token,
 /// and the order of whatever was derived from the log.
--- a/runtime/include/figlug/runtime/log_follower.h
+++ b/runtime/include/figlug/runtime/log_follower.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "figlug/core/checkpoint_choice.h"
 #include "figlug/core/control_state.h"
 #include "figlug/runtime/adjustable_timer.h"
 #include "figlug/runtime/event_loop.h"
@@ -329,6 +330,7 @@
       const auto* found = std::get_if<core::CheckpointRecord>(&entry.m_record);
       if (found != nullptr && found->m_state != nullptr &&
           found->m_next >= first && found->m_next <= entry.m_offset &&
+          core::IsStateOfLog(*found->m_state, m_scanned) &&
           (newest == nullptr || found->m_next > newest->m_next)) {
         newest = found;
       }
