Hold a lease again after a start in a later era

A member that hears of a later era gives and counts no pledges until it has read it; a start in that era, after its next record was gone, did not count.

--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -57,6 +57,7 @@
 
 void Node::HandleStart(Now now, Era era, ControlState state) {
   m_log_era = era;
+  m_later_era_since.reset();
   m_state = std::move(state);
   m_checkpointed = m_state.next();
   m_checkpointed_at = now.m_time;
--- a/core/tests/random_walk_test.cc
+++ b/core/tests/random_walk_test.cc
@@ -56,6 +56,12 @@
   STRCMP_EQUAL("", Walk(1027, {.m_restores = false}).c_str());
 }
 
+// Guards against a member that never holds a lease again: it heard of a later
+// era, and then started over in that era because its next record was gone.
+TEST(RandomWalk, Seed15StartsOverInALaterEra) {
+  STRCMP_EQUAL("", Walk(15, {}).c_str());
+}
+
 TEST(RandomWalk, WalkReachesExecutionsRemovalsAndOwnerChanges) {
   Simulation simulation(kDefaultFirstSeed, kNodeCount, {});
   simulation.Run(kFaultDuration);
