Need no record to begin the log's first era

Callers of figlugd would have had no keys for four seconds after the start of a new log that names its era: the record that begins the era came after the first keys had been assigned, so that the era had to be settled. Nothing has been lost in the first era (1), so it needs no record, and fences stay as they were. Every later era has one and waits until it is settled, also where the restored state names no holder; the flag that said whether a record follows a restore goes.

Before: WholePath.PipelinedRequestsAreAnsweredInOrder and EveryIngressReachesTheOwnerOfAKey got 503 from a log stand-in that names its eras. After: both pass.

--- a/core/include/figlug/core/control_state.h
+++ b/core/include/figlug/core/control_state.h
@@ -207,7 +207,6 @@
   [[nodiscard]] Position PositionOf(Offset offset) const noexcept {
     return MakePosition(m_era, offset);
   }
-  [[nodiscard]] bool HasHolders() const;
   [[nodiscard]] bool EnablesSlicing(std::string_view from,
                                     const Profile& to) const;
   bool RememberAppend(AppendId id);
--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -352,6 +352,7 @@
   [[nodiscard]] Position ReadPosition() const;
   void RequestReload(Now now, Position peer_next);
   [[nodiscard]] bool IsOutdated(Now now) const;
+  [[nodiscard]] bool IsEraBegun() const;
   [[nodiscard]] bool IsEraSettled() const;
   void ReviewEra(Now now);
   /// \brief Removes the members that this process was before.
@@ -425,8 +426,6 @@
   std::deque<LogEntry> m_recent_entries;
   std::deque<ProgressMark> m_progress_marks;
   Era m_log_era = 0;
-  /// Whether the log has been restored since this process started.
-  bool m_was_restored = false;
   /// When the era's last change was seen.
   Time m_era_changed_at{};
   Time m_next_era_append{};
--- a/core/include/figlug/core/record.h
+++ b/core/include/figlug/core/record.h
@@ -109,9 +109,6 @@
 /// after that copy are lost. Ends all fencing tokens given before.
 struct EraRecord {
   Era m_era = 0;
-  /// Whether the writer has seen the log restored; a new log has no holders
-  /// that its records do not show.
-  bool m_follows_restore = false;
 };
 
 /// \brief Confirms that whatever lost records had granted has expired.
--- a/core/src/control_state.cc
+++ b/core/src/control_state.cc
@@ -419,7 +419,7 @@
     return Rejected(RejectReason::kStale);
   }
   m_era = record.m_era;
-  m_is_era_settled = !record.m_follows_restore && !HasHolders();
+  m_is_era_settled = false;
   const Position position = PositionOf(offset);
   for (auto& [name, service] : m_services) {
     for (Slice& slice : service.m_slices) {
@@ -442,14 +442,6 @@
   return kApplied;
 }
 
-bool ControlState::HasHolders() const {
-  return std::ranges::any_of(m_services, [](const auto& entry) {
-    return std::ranges::any_of(entry.second.m_slices, [](const Slice& slice) {
-      return slice.m_owner != kNoMember || !slice.m_previous_holders.empty();
-    });
-  });
-}
-
 // While traffic is not sliced, no member is recorded as a holder. If slicing
 // were enabled later, a process that lags behind in the log could still serve a
 // key concurrently with the key's new owner.
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -331,7 +331,7 @@
 // A release from another era refers to records that this member does not have.
 // Before the era's record, positions of the lost records look alike.
 void Node::On(Now now, const Release& release) {
-  if (EraOf(release.m_folded) != m_state.era() || m_state.era() < m_log_era) {
+  if (EraOf(release.m_folded) != m_state.era() || !IsEraBegun()) {
     return;
   }
   m_ownership.OnRelease(release);
--- a/core/src/node_era.cc
+++ b/core/src/node_era.cc
@@ -20,8 +20,8 @@
 constexpr Duration kReloadTimeout = std::chrono::milliseconds(1500);
 /// Min time between two reads of the whole log on behalf of a peer.
 constexpr Duration kReloadInterval = std::chrono::milliseconds(500);
-/// The first era that a log names. In a later one holders may be left that only
-/// lost records had named, even if this process started after the restore.
+/// The first era that a log names: nothing has been lost, so that no record has
+/// to begin it.
 constexpr Era kFirstEra = 1;
 
 }  // namespace
@@ -32,8 +32,12 @@
 
 // Until the log holds the era's record, fences of this era and of an earlier
 // one could be equal.
+bool Node::IsEraBegun() const {
+  return m_log_era <= kFirstEra || m_state.era() >= m_log_era;
+}
+
 bool Node::IsEraSettled() const {
-  return m_state.era() >= m_log_era && m_state.is_era_settled();
+  return IsEraBegun() && m_state.is_era_settled();
 }
 
 void Node::RequestReload(Now now, Position peer_next) {
@@ -65,7 +69,6 @@
   const bool is_lease_valid = m_lease.IsValid(now.m_time);
   const bool was_leaving = std::exchange(m_leaving, false);
   m_log_era = era;
-  m_was_restored = true;
   m_era_changed_at = now.m_time;
   m_state = std::move(state);
   m_checkpointed = 0;
@@ -132,7 +135,7 @@
   }
   Time due = m_era_changed_at +
              std::min(RankOfSelf(), kMaxEraTurns) * kEraTurnInterval;
-  const bool is_begun = m_state.era() >= m_log_era;
+  const bool is_begun = IsEraBegun();
   if (is_begun) {
     due += m_settings.m_timing.m_stale_reader_timeout +
            m_settings.m_timing.m_pledge_duration;
@@ -144,7 +147,7 @@
   if (is_begun) {
     Append(now, EraSettledRecord{m_state.era()});
   } else {
-    Append(now, EraRecord{m_log_era, m_was_restored || m_log_era > kFirstEra});
+    Append(now, EraRecord{m_log_era});
   }
 }
 
--- a/wire/schema/log.capnp
+++ b/wire/schema/log.capnp
@@ -143,11 +143,8 @@
       folded @28 :UInt64;
       slices @29 :List(UInt32);
     }
-    era :group {
-      era @30 :UInt32;
-      followsRestore @31 :Bool;
-    }
-    eraSettled @32 :UInt32;
+    era @30 :UInt32;
+    eraSettled @31 :UInt32;
   }
 }
 
--- a/wire/src/log_codec.cc
+++ b/wire/src/log_codec.cc
@@ -369,11 +369,7 @@
     move.setFolded(record.m_folded);
     WriteSlices(move.initSlices(Size(record.m_slices)), record.m_slices);
   }
-  void operator()(const core::EraRecord& record) {
-    auto era = m_out.initEra();
-    era.setEra(record.m_era);
-    era.setFollowsRestore(record.m_follows_restore);
-  }
+  void operator()(const core::EraRecord& record) { m_out.setEra(record.m_era); }
   void operator()(const core::EraSettledRecord& record) {
     m_out.setEraSettled(record.m_era);
   }
@@ -440,8 +436,7 @@
           MemberId(in.getMove().getFrom()), MemberId(in.getMove().getTo()),
           in.getMove().getFolded(), ReadSlices(in.getMove().getSlices())};
     case schema::Record::ERA:
-      return core::EraRecord{in.getEra().getEra(),
-                             in.getEra().getFollowsRestore()};
+      return core::EraRecord{in.getEra()};
     case schema::Record::ERA_SETTLED:
       return core::EraSettledRecord{in.getEraSettled()};
   }
