Refuse what arrives between the decision to end the process and its end

Cause: the process had reported that it may end, and writes what is left for up to 100 ms before it does; calls and attempts that arrived then were still accepted. Class: a decision that is not kept by what decides next.

Change: calls are refused from that moment, with not-run, and so are attempts of peers. Before: RoutedNode.AProcessThatIsAboutToEndRefusesCalls fails. After: it passes.

--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -729,6 +729,7 @@
       now.m_time >= *m_stopping_since + m_settings.m_stop_limit;
   if (is_done || is_out_of_time) {
     m_stop_reported = true;
+    m_stop_times.m_no_calls_from = now.m_time;
     m_actions.emplace_back(ReadyToStop{});
   }
 }
--- a/core/src/node_target.cc
+++ b/core/src/node_target.cc
@@ -455,8 +455,9 @@
   if (has_passed(m_own_domain_excluded_since, m_settings.m_drain_time_limit)) {
     return Reason::kExcluded;
   }
-  if (m_stopping_since &&
-      now >= *m_stopping_since + WorkTimeWithin(m_settings.m_stop_limit)) {
+  if (m_stop_reported ||
+      (m_stopping_since &&
+       now >= *m_stopping_since + WorkTimeWithin(m_settings.m_stop_limit))) {
     return Reason::kStopping;
   }
   const bool is_known = m_target_up || m_target.m_draining_since;
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -355,6 +355,30 @@
   CHECK(ends[0].m_retry_after > Duration::zero());
 }
 
+// Guards against a call that is passed on between the decision to end the
+// process and its end, which cuts it without an answer.
+TEST(RoutedNode, AProcessThatIsAboutToEndRefusesCalls) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  self.node().OnStop(self.At(), [](Action&&) {});
+  self.Record(LeaveRecord{self.node().self().m_id});
+  // Calls are accepted for 3 s.
+  const Time calls_end = self.At().m_time + std::chrono::milliseconds(2900);
+  while (self.ActionsOf<ReadyToStop>().empty() &&
+         self.At().m_time < calls_end) {
+    self.Advance(std::chrono::milliseconds(10));
+  }
+  LONGS_EQUAL(1, self.ActionsOf<ReadyToStop>().size());
+  self.ClearActions();
+  self.Call("/order/1");
+  CHECK(self.ActionsOf<SendAttempt>().empty());
+  const auto ends = self.ActionsOf<FinishCall>();
+  CHECK(ends.size() == 1 && ends[0].m_outcome == Outcome::kNotRun);
+  CHECK(ends[0].m_reason == Reason::kStopping);
+}
+
 // Guards against calls that are cut without an answer when their process ends:
 // one began before the stop, one after it, and both may take 20 s.
 TEST(RoutedNode, EveryCallIsAnsweredBeforeItsProcessEnds) {
