Do not take a peer's word for a later era once the log has been read

A member that hears of a later era gives no pledges until it has read the log in it. One false era, for example in a damaged datagram, would have kept it without a lease until its next start. Reading the log again settles it. Before: EraNode.AMemberThatCannotReadALaterErasLogGivesNoPledges fails at its last check. After: it passes.

--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -56,8 +56,8 @@
   }
   /// \brief The log has been restored from an older copy: continues from the
   /// state that the log has now.
-  /// \param era Era of the log that the state was read in; has no effect unless
-  /// it is later than the one known.
+  /// \param era Era of the log that the state was read in; the state is ignored
+  /// unless it is later than the one known.
   template <ActionSink Sink>
   void OnRestored(Now now, Era era, ControlState state, Sink&& sink) {
     HandleRestored(now, era, std::move(state));
--- a/core/src/node_era.cc
+++ b/core/src/node_era.cc
@@ -63,6 +63,8 @@
 // and have to be repeated. A member that has given itself up may have been
 // removed by a record that the log has lost, so it joins under a new id.
 void Node::HandleRestored(Now now, Era era, ControlState state) {
+  // The log has been read since and names no later era, whatever a peer said.
+  m_later_era_since.reset();
   if (era <= m_log_era) {
     return;
   }
@@ -81,7 +83,6 @@
   m_requested_weight = 0;
   m_sent_releases.clear();
   m_logged_releases.clear();
-  m_later_era_since.reset();
   m_next_era_append = now.m_time;
   m_exclusions_differ_since = now.m_time;
   ReportStateChange({.m_change = StateChangeKind::kLogRestored,
--- a/core/src/node_target.cc
+++ b/core/src/node_target.cc
@@ -250,7 +250,7 @@
   }
 }
 
-// The report names the offset before this read: what the read returns is
+// The report names the position before this read: what the read returns is
 // forwarded as an update, and a report that arrived before the update would
 // make every member ask for it again.
 void Node::ReportRead(Now now) {
--- a/core/tests/era_test.cc
+++ b/core/tests/era_test.cc
@@ -254,6 +254,27 @@
   LONGS_EQUAL(1, node.ActionsOf<ReloadLog>().size());
 }
 
+// Guards against two owners: a member that hears of a later era but cannot read
+// the log would give pledges by lost records. And against a member that never
+// gives them again, because a peer named an era that the log does not have.
+TEST(EraNode, AMemberThatCannotReadALaterErasLogGivesNoPledges) {
+  RoutedNode node("catalogue");
+  StartAndJoin(node);
+  const auto acknowledges = [&] {
+    node.ClearActions();
+    node.Deliver(Heartbeat{.m_member = MemberId{5},
+                           .m_generation = 1,
+                           .m_next = MakePosition(kEra, 0)});
+    return !node.ActionsOf<SendDatagram>().empty();
+  };
+  CHECK(acknowledges());
+  node.Sleep(std::chrono::seconds(2));
+  CHECK_FALSE(acknowledges());
+  node.node().OnRestored(node.At(), node.node().log_era(), node.node().state(),
+                         SinkOf(node));
+  CHECK(acknowledges());
+}
+
 // Guards against two owners: a process that had started after the restore began
 // the era as one without earlier holders, which was settled at once.
 TEST(EraNode, AProcessThatStartsInALaterEraBeginsItAsOneAfterARestore) {
