--- a/core/src/checkpoint_choice.cc
+++ b/core/src/checkpoint_choice.cc
@@ -1,7 +1,6 @@
 #include "figlug/core/checkpoint_choice.h"
 
 #include <algorithm>
-#include <ranges>
 #include <set>
 
 namespace figlug::core {
@@ -14,7 +13,8 @@
   const auto& recent = state.recent_appends();
   const std::set<AppendId> known(recent.begin(), recent.end());
   auto expected = recent.rbegin();
-  for (const LogEntry& entry : entries | std::views::reverse) {
+  for (auto it = entries.rbegin(); it != entries.rend(); ++it) {
+    const LogEntry& entry = *it;
     if (entry.m_offset >= state.next()) {
       continue;
     }
