Count a target's 421 as an arrival

Callers saw requests that reached targets dozens of times where no target held their key. Cause: a 421 of the target was reported as kNotOwner, the reason of a gate, which is retried without a budget; and a gate took a hold for accepted as soon as its reply was sent.

A 421 now has a reason of its own. It counts as one of the route's attempts and draws on the retry budget; the gate sends no more work of that slice until the target reports that it holds it.

Before: RoutedNode.AKeyThatTheTargetDoesNotHoldGetsNoWorkUntilItIsReported failed (the second piece of work was dispatched); the checks of the new reason were written with the change and not run without it. After: core RoutedNode 42 tests and platform_documents 19 tests pass.

--- a/core/include/figlug/core/gate.h
+++ b/core/include/figlug/core/gate.h
@@ -42,7 +42,7 @@
   Reason m_closed_reason = Reason::kNone;
   TargetCapacity m_capacity{};
   /// Null unless targets need a granted hold to serve a key range.
-  const TargetHolds* m_holds = nullptr;
+  TargetHolds* m_holds = nullptr;
   std::string_view m_target{};
   /// Service of the target.
   std::string_view m_service{};
--- a/core/include/figlug/core/outcome.h
+++ b/core/include/figlug/core/outcome.h
@@ -41,11 +41,14 @@
   kNoRouting,
   /// The target responded with an error of its own.
   kTargetError,
+  /// The target does not hold the request's key, or is not the one that the
+  /// request was sent to.
+  kTargetMisdirected,
 };
 
 /// \brief Number of enumerators of Reason.
 inline constexpr std::uint8_t kReasonCount =
-    static_cast<std::uint8_t>(Reason::kTargetError) + 1;
+    static_cast<std::uint8_t>(Reason::kTargetMisdirected) + 1;
 
 /// \brief Name of a reason, as used in responses and logs.
 [[nodiscard]] std::string_view ToString(Reason reason) noexcept;
--- a/core/include/figlug/core/target_holds.h
+++ b/core/include/figlug/core/target_holds.h
@@ -38,6 +38,10 @@
   /// there is none.
   [[nodiscard]] const std::string& HandoverOf(SliceIndex slice) const;
 
+  /// \brief The target has refused work of a slice because it does not hold it.
+  /// The slice is not usable until a report says that it is held.
+  void OnRejected(SliceIndex slice);
+
   /// \brief Decides which slices the target may hold from now on.
   /// \param lease_left Time for which no other process can serve these slices.
   [[nodiscard]] HoldGrant Grant(Time now,
@@ -57,6 +61,8 @@
     /// Earliest end of the last grant, if the target's clock is fast.
     Time m_usable_until{};
     std::string m_handover;
+    /// Whether the target has refused work of the slice since its last report.
+    bool m_is_rejected = false;
   };
   struct SliceRange {
     SliceIndex m_first = 0;
--- a/core/src/gate.cc
+++ b/core/src/gate.cc
@@ -257,7 +257,11 @@
       m_slice_work.Add(now, work.m_head.m_slice, now - work.m_dispatched_at);
       break;
     case Outcome::kNotRun:
-      if (result.m_reason == Reason::kTargetUnreachable) {
+      if (result.m_reason == Reason::kTargetMisdirected) {
+        if (view.m_holds != nullptr) {
+          view.m_holds->OnRejected(work.m_head.m_slice);
+        }
+      } else if (result.m_reason == Reason::kTargetUnreachable) {
         m_limit.Reset();
       } else {
         m_limit.OnShed(now);
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -42,12 +42,12 @@
 /// loaded yet.
 constexpr Duration kUnsettledRetryAfter = std::chrono::milliseconds(500);
 
-// Reasons that clear once ownership has settled. The request did not reach a
-// target, so a retry adds no load to the targets.
+// Reasons that clear once ownership has settled.
 bool IsOwnershipUnsettled(Reason reason) {
   return reason == Reason::kNotOwner || reason == Reason::kNoLease ||
          reason == Reason::kStopping || reason == Reason::kExcluded ||
-         reason == Reason::kPeerUnreachable || reason == Reason::kNoTarget;
+         reason == Reason::kPeerUnreachable || reason == Reason::kNoTarget ||
+         reason == Reason::kTargetMisdirected;
 }
 
 bool IsFinal(Reason reason) {
@@ -545,7 +545,8 @@
     const bool is_searching =
         call.m_full_gates <
         (call.m_is_cross_region ? kMaxFullGatesCrossRegion : kMaxFullGates);
-    const bool is_arrival = reason == Reason::kTargetShed;
+    const bool is_arrival =
+        reason == Reason::kTargetShed || reason == Reason::kTargetMisdirected;
     call.m_delivered_attempts += is_arrival ? 1 : 0;
     const bool may_arrive =
         !is_arrival ||
--- a/core/src/outcome.cc
+++ b/core/src/outcome.cc
@@ -6,12 +6,17 @@
 namespace {
 
 constexpr std::array<std::string_view, kReasonCount> kReasonNames = {
-    "none",          "unknown-service",  "wrong-region",  "no-target",
-    "not-owner",     "no-lease",         "stopping",      "excluded",
-    "overloaded",    "deadline",         "target-shed",   "target-unreachable",
-    "target-failed", "peer-unreachable", "peer-lost",     "duplicate",
-    "cancelled",     "bad-request-id",   "unknown-route", "no-routing",
-    "target-error",
+    "none",          "unknown-service",
+    "wrong-region",  "no-target",
+    "not-owner",     "no-lease",
+    "stopping",      "excluded",
+    "overloaded",    "deadline",
+    "target-shed",   "target-unreachable",
+    "target-failed", "peer-unreachable",
+    "peer-lost",     "duplicate",
+    "cancelled",     "bad-request-id",
+    "unknown-route", "no-routing",
+    "target-error",  "target-misdirected",
 };
 
 constexpr std::array<std::string_view, 3> kOutcomeNames = {
--- a/core/src/target_holds.cc
+++ b/core/src/target_holds.cc
@@ -52,6 +52,7 @@
   for (const KeyRange& held : report.m_held) {
     for_each(held, [&](Slice& slice) {
       slice.m_is_held = true;
+      slice.m_is_rejected = false;
       slice.m_handover.clear();
       if (slice.m_held_until <= now) {
         slice.m_held_until = now + m_max_hold;
@@ -73,6 +74,13 @@
   }
 }
 
+void TargetHolds::OnRejected(SliceIndex slice) {
+  if (slice < m_slices.size()) {
+    m_slices[slice].m_is_rejected = true;
+    m_slices[slice].m_usable_until = Time::min();
+  }
+}
+
 void TargetHolds::OnHandover(SliceIndex slice, std::string token) {
   if (slice >= kMaxSlicesPerService) {
     return;
@@ -147,7 +155,8 @@
   for (SliceRange& range : ranges) {
     for (SliceIndex i = range.m_first; i <= range.m_last; ++i) {
       m_slices[i].m_held_until = now + bound;
-      m_slices[i].m_usable_until = now + hold - kLeaseMargin;
+      m_slices[i].m_usable_until =
+          m_slices[i].m_is_rejected ? Time::min() : now + hold - kLeaseMargin;
     }
     grant.m_ranges.push_back({{FirstKeyOf(range.m_first, slices),
                                FirstKeyOf(range.m_last + 1, slices) - 1},
--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -128,9 +128,10 @@
     return m_node.LogReadDelay(At().m_time);
   }
   void Answer(WorkId work, std::optional<TargetNotice> notice = std::nullopt) {
-    m_node.OnTargetResult(
-        At(), work, {Outcome::kAnswered, Reason::kNone, std::move(notice)},
-        Sink());
+    Finish(work, {Outcome::kAnswered, Reason::kNone, std::move(notice)});
+  }
+  void Finish(WorkId work, const TargetResult& result) {
+    m_node.OnTargetResult(At(), work, result, Sink());
   }
   CallId Call(std::string path, std::uint32_t key = 0) {
     const CallId call{++m_last_call};
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -602,6 +602,47 @@
         ends[0].m_attempt == first[0].m_attempt);
 }
 
+// Guards against a storm of arrivals at targets that hold no keys: a refusal of
+// the target was retried like one of a gate, which no budget limits.
+TEST(RoutedNode, ARequestThatTargetsMisdirectArrivesAtMostMaxAttemptsTimes) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Record(JoinRecord{RoutedNode::OtherMember(6, "catalogue"), {}});
+  self.Record(WeightRecord{MemberId{6}, kMaxWeight});
+  const std::uint32_t max_attempts =
+      RoutedNode::Table(1)
+          ->FindRoute("shop.example", "/browse/1")
+          ->m_profile.m_max_attempts;
+  self.ClearActions();
+  self.Call("/browse/1");
+  std::size_t ended = 0;
+  for (int i = 0; i < 200; ++i) {
+    const auto sent = self.ActionsOf<SendAttempt>();
+    for (; ended < sent.size(); ++ended) {
+      self.EndAttempt(sent[ended].m_attempt, Outcome::kNotRun,
+                      Reason::kTargetMisdirected);
+    }
+    self.Advance(milliseconds(10));
+  }
+  CHECK(self.ActionsOf<SendAttempt>().size() <= max_attempts);
+  const auto ends = self.ActionsOf<FinishCall>();
+  CHECK(ends.size() == 1 && ends[0].m_outcome == Outcome::kNotRun &&
+        ends[0].m_retry_after > Duration::zero());
+}
+
+TEST(RoutedNode, AKeyThatTheTargetDoesNotHoldGetsNoWorkUntilItIsReported) {
+  RoutedNode self("catalogue");
+  OwnAllKeys(self);
+  const WorkId first = self.Attempt("catalogue", 3);
+  CHECK(self.IsDispatched(first));
+  self.Finish(first, {Outcome::kNotRun, Reason::kTargetMisdirected});
+  self.Report();
+  const WorkId second = self.Attempt("catalogue", 3);
+  CHECK_FALSE(self.IsDispatched(second));
+  self.Report({kAllKeys});
+  CHECK(self.IsDispatched(second));
+}
+
 TEST(RoutedNode, OneMemberOfADomainReadsTheLogAndForwardsItToItsNeighbours) {
   RoutedNode self("orders", "d2");
   self.Start();
