--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "figlug/core/control_state.h"
+#include "figlug/wire/checkpoint_parts.h"
 #include "figlug/wire/frame.h"
 #include "figlug/wire/log_codec.h"
 
@@ -210,4 +211,27 @@
   CHECK(rejected > 0);
 }
 
+TEST(Codec, ACheckpointInPartsIsCompleteOrAbsent) {
+  constexpr std::size_t part_bytes = kPartHeaderBytes + 10;
+  const std::string bytes(25, 'b');
+  const auto parts = SplitCheckpoint(core::AppendId{7}, bytes, part_bytes);
+  LONGS_EQUAL(3, parts.size());
+  std::vector<std::string_view> views(parts.begin(), parts.end());
+  CHECK(JoinCheckpoint(views) == bytes);
+  const auto longer =
+      SplitCheckpoint(core::AppendId{6}, std::string(35, 'a'), part_bytes);
+  views.push_back(longer[3]);
+  CHECK(JoinCheckpoint(views) == bytes);
+  views[1] = longer[1];
+  CHECK_FALSE(JoinCheckpoint(views).has_value());
+  views.resize(1);
+  CHECK_FALSE(JoinCheckpoint(views).has_value());
+  CHECK_FALSE(JoinCheckpoint({}).has_value());
+  const std::vector<std::string_view> odd = {"FGC1", "x"};
+  CHECK_FALSE(JoinCheckpoint(odd).has_value());
+  CHECK(SplitCheckpoint(core::AppendId{1}, std::string(5000, 'c'),
+                        kPartHeaderBytes + 1)
+            .empty());
+}
+
 }  // namespace figlug::wire
