Remember targets that have left across restarts of their processes

It could happen here: the process beside a target kept the leave to itself, and a member that replaces another of the same incarnation took over its weight but not its drain. A late report that says ready made the restarted process join, and the target got work again.

A DepartureRecord marks the member as draining and remembers the target's incarnation (the last 256); no member can join with it. Members that do not know the record ignore it, so a fleet must not run both versions for long.

--- a/core/include/figlug/core/control_state.h
+++ b/core/include/figlug/core/control_state.h
@@ -19,6 +19,8 @@
 
 /// \brief Weight of a member that owns its full share of slices.
 inline constexpr std::uint32_t kMaxWeight = 8;
+/// \brief Number of departed targets that are remembered.
+inline constexpr std::size_t kMaxDepartedTargets = 256;
 /// \brief Number of recent append ids kept to reject duplicate appends.
 inline constexpr std::size_t kMaxRecentAppends = 1024;
 
@@ -160,6 +162,15 @@
   [[nodiscard]] const std::set<MemberId>& removed_watchers() const noexcept {
     return m_removed_watchers;
   }
+  /// \brief Incarnations of targets that have announced that they leave, by id
+  /// and start (Unix ms); the oldest first.
+  using DepartedTarget = std::pair<std::string, std::int64_t>;
+  /// \brief Returns whether a member's target has announced that it leaves.
+  [[nodiscard]] bool HasDeparted(const MemberInfo& info) const;
+  [[nodiscard]] const std::deque<DepartedTarget>& departed_targets()
+      const noexcept {
+    return m_departed_targets;
+  }
   [[nodiscard]] const std::deque<AppendId>& recent_appends() const noexcept {
     return m_recent_appends;
   }
@@ -180,6 +191,7 @@
     std::set<Exclusion> m_exclusions;
     std::uint64_t m_exclusions_version = 0;
     std::set<MemberId> m_removed_watchers;
+    std::deque<DepartedTarget> m_departed_targets;
     std::deque<AppendId> m_recent_appends;
   };
   /// \brief Rebuilds a state from the content of a checkpoint.
@@ -203,6 +215,7 @@
   ApplyResult ApplyRecord(Offset offset, const MoveRecord& record);
   ApplyResult ApplyRecord(Offset offset, const EraRecord& record);
   ApplyResult ApplyRecord(Offset offset, const EraSettledRecord& record);
+  ApplyResult ApplyRecord(Offset offset, const DepartureRecord& record);
 
   [[nodiscard]] Position PositionOf(Offset offset) const noexcept {
     return MakePosition(m_era, offset);
@@ -233,6 +246,7 @@
   std::set<Exclusion> m_exclusions;
   std::uint64_t m_exclusions_version = 0;
   std::set<MemberId> m_removed_watchers;
+  std::deque<DepartedTarget> m_departed_targets;
   std::deque<AppendId> m_recent_appends;
   std::set<AppendId> m_recent_append_set;
   ChangeCount m_slice_changes;
--- a/core/include/figlug/core/record.h
+++ b/core/include/figlug/core/record.h
@@ -50,6 +50,13 @@
   MemberId m_member = kNoMember;
 };
 
+/// \brief Marks a member whose target has announced that it leaves. Like a
+/// drain; besides, no member can join with that incarnation of the target
+/// again.
+struct DepartureRecord {
+  MemberId m_member = kNoMember;
+};
+
 /// \brief Removes a member that has stopped and no longer holds any slices.
 struct LeaveRecord {
   MemberId m_member = kNoMember;
@@ -133,7 +140,8 @@
                             CheckpointRecord,
                             MoveRecord,
                             EraRecord,
-                            EraSettledRecord>;
+                            EraSettledRecord,
+                            DepartureRecord>;
 
 /// \brief Name of a record's kind, as used in logs.
 [[nodiscard]] std::string_view NameOf(const Record& record) noexcept;
--- a/core/src/control_state.cc
+++ b/core/src/control_state.cc
@@ -128,6 +128,12 @@
                       member.m_info.m_region);
 }
 
+bool ControlState::HasDeparted(const MemberInfo& info) const {
+  return std::ranges::count(
+             m_departed_targets,
+             DepartedTarget(info.m_target, info.m_target_start_ms)) > 0;
+}
+
 ControlState ControlState::FromSnapshot(Snapshot snapshot) {
   ControlState state;
   state.m_next = snapshot.m_next;
@@ -139,6 +145,7 @@
   state.m_exclusions = std::move(snapshot.m_exclusions);
   state.m_exclusions_version = snapshot.m_exclusions_version;
   state.m_removed_watchers = std::move(snapshot.m_removed_watchers);
+  state.m_departed_targets = std::move(snapshot.m_departed_targets);
   state.m_recent_appends = std::move(snapshot.m_recent_appends);
   state.m_recent_append_set.insert(state.m_recent_appends.begin(),
                                    state.m_recent_appends.end());
@@ -155,6 +162,10 @@
   if (info.m_id == kNoMember || m_members.contains(info.m_id)) {
     return Rejected(RejectReason::kInvalid);
   }
+  // A process that restarts beside a target that has left does not know that.
+  if (HasDeparted(info)) {
+    return Rejected(RejectReason::kStale);
+  }
   const Member* predecessor = FindPredecessor(info);
   if (predecessor != nullptr &&
       predecessor->m_info.m_target_start_ms > info.m_target_start_ms) {
@@ -303,6 +314,22 @@
   return kApplied;
 }
 
+// Targets that do not report their start cannot be told from their next
+// incarnation.
+ApplyResult ControlState::ApplyRecord(Offset offset,
+                                      const DepartureRecord& record) {
+  const Member* member = FindMember(record.m_member);
+  if (member != nullptr && member->m_info.m_target_start_ms != 0 &&
+      !HasDeparted(member->m_info)) {
+    m_departed_targets.emplace_back(member->m_info.m_target,
+                                    member->m_info.m_target_start_ms);
+    if (m_departed_targets.size() > kMaxDepartedTargets) {
+      m_departed_targets.pop_front();
+    }
+  }
+  return ApplyRecord(offset, DrainRecord{record.m_member});
+}
+
 // A member leaves only after its requests have completed, so its slices do not
 // count as lost.
 ApplyResult ControlState::ApplyRecord(Offset offset,
--- a/core/src/node_target.cc
+++ b/core/src/node_target.cc
@@ -157,8 +157,14 @@
 
 void Node::StartDrain(Now now) {
   const Member* self = FindSelf();
-  if (self != nullptr && !self->m_draining) {
-    Append(now, DrainRecord{m_settings.m_self.m_id});
+  if (self == nullptr) {
+    return;
+  }
+  const MemberId id = m_settings.m_self.m_id;
+  if (m_target.m_draining_since && !m_state.HasDeparted(self->m_info)) {
+    Append(now, DepartureRecord{id});
+  } else if (!self->m_draining) {
+    Append(now, DrainRecord{id});
   }
 }
 
--- a/wire/schema/log.capnp
+++ b/wire/schema/log.capnp
@@ -91,6 +91,12 @@
   goneWatchers @7 :List(UInt64);
   era @8 :UInt32;
   isEraUnsettled @9 :Bool;
+  departedTargets @10 :List(DepartedTarget);
+}
+
+struct DepartedTarget {
+  id @0 :Text;
+  startMs @1 :Int64;
 }
 
 struct Record {
@@ -145,6 +151,7 @@
     }
     era @30 :UInt32;
     eraSettled @31 :UInt32;
+    departure @32 :UInt64;
   }
 }
 
--- a/wire/src/log_codec.cc
+++ b/wire/src/log_codec.cc
@@ -244,6 +244,12 @@
   for (MemberId watcher : state.removed_watchers()) {
     removed.set(i++, Raw(watcher));
   }
+  auto departed = out.initDepartedTargets(Size(state.departed_targets()));
+  i = 0;
+  for (const auto& [id, start_ms] : state.departed_targets()) {
+    departed[i].setId(id);
+    departed[i++].setStartMs(start_ms);
+  }
   auto appends = out.initRecentAppends(Size(state.recent_appends()));
   i = 0;
   for (core::AppendId id : state.recent_appends()) {
@@ -302,6 +308,10 @@
   for (std::uint64_t id : in.getGoneWatchers()) {
     snapshot.m_removed_watchers.insert(MemberId(id));
   }
+  for (auto target : in.getDepartedTargets()) {
+    snapshot.m_departed_targets.emplace_back(Text(target.getId()),
+                                             target.getStartMs());
+  }
   for (std::uint64_t id : in.getRecentAppends()) {
     snapshot.m_recent_appends.push_back(core::AppendId(id));
   }
@@ -370,6 +380,9 @@
     WriteSlices(move.initSlices(Size(record.m_slices)), record.m_slices);
   }
   void operator()(const core::EraRecord& record) { m_out.setEra(record.m_era); }
+  void operator()(const core::DepartureRecord& record) {
+    m_out.setDeparture(Raw(record.m_member));
+  }
   void operator()(const core::EraSettledRecord& record) {
     m_out.setEraSettled(record.m_era);
   }
@@ -437,6 +450,8 @@
           in.getMove().getFolded(), ReadSlices(in.getMove().getSlices())};
     case schema::Record::ERA:
       return core::EraRecord{in.getEra()};
+    case schema::Record::DEPARTURE:
+      return core::DepartureRecord{MemberId(in.getDeparture())};
     case schema::Record::ERA_SETTLED:
       return core::EraSettledRecord{in.getEraSettled()};
   }
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -95,6 +95,20 @@
   CHECK(state.is_era_settled());
 }
 
+TEST(Codec, ACheckpointKeepsDepartedTargets) {
+  core::ControlState state;
+  core::MemberInfo info{.m_id = core::MemberId{8}, .m_target = "t"};
+  info.m_target_start_ms = 5;
+  state.Apply({0, core::AppendId{1}, core::JoinRecord{info, {}}});
+  state.Apply({1, core::AppendId{2}, core::DepartureRecord{info.m_id}});
+  const auto shared = std::make_shared<const core::ControlState>(state);
+  const auto entry = ParseRecord(
+      2, EncodeRecord(core::AppendId{3}, core::CheckpointRecord{2, shared}));
+  const auto* read = std::get_if<core::CheckpointRecord>(&entry.m_record);
+  CHECK(read != nullptr && *read->m_state == state);
+  CHECK(read->m_state->HasDeparted(info));
+}
+
 TEST(Codec, EveryDatagramStaysWithinItsBoundWithLargeNumbers) {
   const core::MemberId id{0x8877665544332211};
   const core::Position position = core::MakePosition(kLargeEra, kLargeOffset);
