--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -140,8 +140,11 @@
   [[nodiscard]] Duration LogReadDelay() const {
     return m_node.LogReadDelay(At().m_time);
   }
-  void Answer(WorkId work, std::optional<TargetNotice> notice = std::nullopt) {
-    Finish(work, {Outcome::kAnswered, Reason::kNone, std::move(notice)});
+  void Answer(WorkId work) { Finish(work, {}); }
+  void Answer(WorkId work, TargetNotice notice) {
+    TargetResult result;
+    result.m_notice = std::move(notice);
+    Finish(work, result);
   }
   void Finish(WorkId work, const TargetResult& result) {
     m_node.OnTargetResult(At(), work, result, Sink());
