Dispatch no work for keys that a reply to the target leaves out

Cause: PulledHolds::Grant extended the time for which granted slices are usable, and left the other slices as they were. The target lets go of a slice as soon as it reads a reply that omits it, while the gate dispatched work of that slice until the target's next report, one heartbeat later. The target answered 421, so that an attempt of the request was spent, and its next attempt waited at the new owner for keys that were still on their way.

Ruled out: a hold that had run out (848 ms were left), another incarnation, a lower fence.

Change: a slice that a reply omits is not usable from then on. It still counts as held until the target reports that it is not. The gate refuses its work as not its own, and the ingress sends it to the new owner.

--- a/core/src/pulled_holds.cc
+++ b/core/src/pulled_holds.cc
@@ -149,6 +149,10 @@
   std::vector<SliceRange> ranges =
       CollectRanges(now, context.m_ownership, slices);
   TrimToReplySize(ranges);
+  // The target lets go of what the reply omits as soon as it reads it.
+  for (Slice& slice : m_slices) {
+    slice.m_usable_until = Time::min();
+  }
   for (SliceRange& range : ranges) {
     for (SliceIndex i = range.m_first; i <= range.m_last; ++i) {
       m_slices[i].m_held_until = now + bound;
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -689,6 +689,35 @@
   CHECK(self.IsDispatched(second));
 }
 
+// Guards against work for keys that the target lets go of on the same reply.
+TEST(RoutedNode, KeysThatAReplyLeavesOutGetNoMoreWork) {
+  constexpr SliceIndex moved = 3;
+  RoutedNode self("catalogue");
+  OwnAllKeys(self);
+  const MemberId own = self.node().self().m_id;
+  const MemberId other{5};
+  const auto move = [&](std::vector<SliceIndex> slices) {
+    self.Record(MoveRecord{own, other, self.node().state().position(),
+                           std::move(slices)});
+  };
+  self.Record(JoinRecord{RoutedNode::OtherMember(5, "catalogue"), {}});
+  move({});
+  self.Record(WeightRecord{other, 1});
+  move({moved});
+  const WorkId before = self.Attempt("catalogue", moved);
+  CHECK(self.IsDispatched(before));
+  self.Answer(before);
+  const HoldGrant grant = self.Report({kAllKeys});
+  CHECK(grant.m_is_granted);
+  CHECK(GrantedKeys(grant) < kKeySpaceSize);
+  const WorkId after = self.Attempt("catalogue", moved);
+  CHECK_FALSE(self.IsDispatched(after));
+  CHECK(self.ResultOf(after)->m_reason == Reason::kNotOwner);
+  const SliceIndex kept =
+      SliceOfNumber(grant.m_ranges.front().m_keys.m_first, kLastSlice + 1);
+  CHECK(self.IsDispatched(self.Attempt("catalogue", kept)));
+}
+
 TEST(RoutedNode, OneMemberOfADomainReadsTheLogAndForwardsItToItsNeighbours) {
   RoutedNode self("orders", "d2");
   self.Start();
