--- a/tests/operators_test.cc
+++ b/tests/operators_test.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::size_t kNodes = 4;
-const core::Endpoint kLogAddress = {"127.0.0.1", 7976};
+const core::Endpoint kLogAddress = {"127.0.0.1", 7977};
 constexpr core::Duration kControlTimeout = std::chrono::seconds(2);
 /// Later than the append, earlier than the answer of a slow log.
 constexpr core::Duration kRestoreDelay = std::chrono::milliseconds(300);
--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -4,7 +4,8 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-ctest --test-dir "$build" --output-on-failure
+# At most three programs at a time; CTest keeps apart those that share a lock.
+ctest --test-dir "$build" --output-on-failure -j 3
 code=$?
 [ -s KNOWN-RED.txt ] || exit "$code"
 printf 'known red:\n'
