Reject an answer that names another request, at figlug's own front end too

Reported by other operators: a server sent a second copy of an answer late, on a connection that was in use again, and the next caller got it. On the platform each answer names its request. Figlug's own front end checked nothing, since its targets need not name the request.

Change: a target that echoes Figlug-Request-Id is checked. An answer with another id ends the attempt as one that may have run, and its connection is closed. An answer without an id is accepted as before, which stays open for targets that name none. The stand-in echoes the id.

--- a/runtime/include/figlug/runtime/figlug_dialect.h
+++ b/runtime/include/figlug/runtime/figlug_dialect.h
@@ -38,12 +38,10 @@
       const core::DispatchWork& work) const;
   [[nodiscard]] std::string_view RequestIdOf(
       const wire::HttpRequest& request) const;
-  /// \brief No check: a target answers the requests of a connection in order,
-  /// so each response belongs to its request.
+  /// \brief Rejects a response that names another request. Targets need not
+  /// name the request; a response without a name is accepted.
   [[nodiscard]] HttpClient::ResponseCheck MakeResponseCheck(
-      const wire::HttpRequest&) const {
-    return {};
-  }
+      const wire::HttpRequest& request) const;
   [[nodiscard]] core::TargetResult ClassifyResponse(
       const wire::HttpRequest& request,
       const wire::HttpResponse& response) const;
--- a/runtime/src/figlug_dialect.cc
+++ b/runtime/src/figlug_dialect.cc
@@ -148,6 +148,18 @@
   return trace == nullptr ? std::string_view() : std::string_view(*trace);
 }
 
+HttpClient::ResponseCheck FiglugDialect::MakeResponseCheck(
+    const wire::HttpRequest& request) const {
+  const auto* id = wire::FindHeader(request.m_headers, kRequestIdHeader);
+  if (id == nullptr) {
+    return {};
+  }
+  return [id = *id](const wire::HttpResponse& response) {
+    const auto* echoed = wire::FindHeader(response.m_headers, kRequestIdHeader);
+    return echoed == nullptr || *echoed == id;
+  };
+}
+
 core::TargetResult FiglugDialect::ClassifyResponse(
     const wire::HttpRequest&,
     const wire::HttpResponse& response) const {
--- a/testing/src/target_stand_in.cc
+++ b/testing/src/target_stand_in.cc
@@ -220,6 +220,11 @@
     }
     evhttp_add_header(evhttp_request_get_output_headers(request), "X-Target",
                       m_options.m_name.c_str());
+    if (const std::string id = HeaderOf(request, "Figlug-Request-Id");
+        !id.empty()) {
+      evhttp_add_header(evhttp_request_get_output_headers(request),
+                        "Figlug-Request-Id", id.c_str());
+    }
     if (evhttp_request_get_command(request) == EVHTTP_REQ_HEAD) {
       const std::string length = std::to_string(evbuffer_get_length(reply));
       evhttp_add_header(evhttp_request_get_output_headers(request),
