Pass the operators' configuration on to peers compressed

Cause: the reader of a failure domain sends each new configuration in full to all processes of its domain, and to each that has restarted. With 1,728 routes the document has some 370 KB: 19 copies are 7 MB, 2.8 s of a link of 20 Mbit/s, on which the attempts and their answers wait as well. Configurations have to be in force within 3 s.

Change: a process that reads a configuration from the store compresses it once; peers get and pass on the compressed bytes, and keep only these. Documents in plain text, of earlier versions, are read as well; a fleet must not mix versions for long, since earlier ones reject the compressed form and keep what they have. New library: zlib.

--- a/core/include/figlug/core/messages.h
+++ b/core/include/figlug/core/messages.h
@@ -111,7 +111,7 @@
   Position m_next = 0;
   /// Version of the configuration; 0 for none.
   std::uint64_t m_version = 0;
-  /// Newest configuration as operators wrote it; empty for none.
+  /// Newest configuration, encoded by the front end; empty for none.
   std::string m_configuration;
   std::vector<std::string> m_excluded_domains;
 };
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -7,4 +7,4 @@
   g++ cmake ninja-build clang-format clang-tidy \
   libevent-dev libevhtp-dev libssl-dev capnproto libcapnp-dev libboost-dev \
   libtclap-dev liblog4cplus-dev libexpected-dev libcpputest-dev libinih-dev \
-  libxxhash-dev nlohmann-json3-dev >/dev/null
+  libxxhash-dev zlib1g-dev nlohmann-json3-dev >/dev/null
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <limits>
 
+#include "figlug/wire/impl/big_endian.h"
 #include "figlug/wire/impl/message_bytes.h"
 #include "figlug/wire/log_codec.h"
 #include "generated/peer.capnp.h"
@@ -356,24 +357,11 @@
   return CancelFrame{};
 }
 
-void AppendUint32(std::string& out, std::uint32_t value) {
-  for (int shift : {24, 16, 8, 0}) {
-    out.push_back(static_cast<char>(value >> shift & 0xff));
-  }
-}
-
-std::uint32_t ReadUint32(std::string_view bytes) {
-  std::uint32_t value = 0;
-  for (char byte : bytes.substr(0, 4)) {
-    value = value << 8 | static_cast<std::uint8_t>(byte);
-  }
-  return value;
-}
-
 }  // namespace
 
 tl::expected<FramePrefix, WireError> ParseFramePrefix(std::string_view bytes) {
-  const FramePrefix prefix{ReadUint32(bytes), ReadUint32(bytes.substr(4))};
+  const FramePrefix prefix{impl::ReadUint32(bytes),
+                           impl::ReadUint32(bytes.substr(4))};
   if (prefix.m_head == 0 || prefix.m_head > kMaxFrameHeadBytes ||
       prefix.m_body > kMaxFrameBodyBytes) {
     return tl::unexpected(
@@ -388,8 +376,8 @@
   const std::string head = impl::ToPackedBytes(message);
   std::string out;
   out.reserve(kFramePrefixBytes + head.size());
-  AppendUint32(out, static_cast<std::uint32_t>(head.size()));
-  AppendUint32(out, static_cast<std::uint32_t>(BodyOf(frame).size()));
+  impl::AppendUint32(out, static_cast<std::uint32_t>(head.size()));
+  impl::AppendUint32(out, static_cast<std::uint32_t>(BodyOf(frame).size()));
   out += head;
   return out;
 }
