Show that large bodies in a burst end a process for its memory

Bodies within the configuration's limit are collected without a bound over all connections; in a burst of 1.78 times the process passes the machine's 260 MB, is killed, and every request in hand is cut.

--- a/review/tests/small_site.cc
+++ b/review/tests/small_site.cc
@@ -217,6 +217,33 @@
       });
 }
 
+std::shared_ptr<Sent> SmallSite::SendOn(runtime::HttpClient& client,
+                                        std::size_t machine,
+                                        const std::string& path,
+                                        milliseconds deadline,
+                                        std::string body) {
+  auto sent = std::make_shared<Sent>();
+  sent->m_id = "q" + std::to_string(++m_last_id);
+  sent->m_machine = machine;
+  sent->m_path = path;
+  sent->m_sent_at = Now();
+  m_sent.push_back(sent);
+  client.Send({"POST",
+               path,
+               {{"Host", "shop.example"},
+                {"X-Request-Id", sent->m_id},
+                {"X-Deadline-Ms", std::to_string(deadline.count())}},
+               std::move(body)},
+              deadline, [sent](runtime::HttpClient::Result&& result) {
+                sent->m_status = result ? result->m_status : -1;
+                sent->m_ended_at = Now();
+                sent->m_is_sealed =
+                    result && wire::FindHeader(result->m_headers,
+                                               "X-Server-Seal") != nullptr;
+              });
+  return sent;
+}
+
 void SmallSite::SendRegularly() {
   const core::Time now = Now();
   if (now < m_next_send) {
--- a/review/tests/small_site.h
+++ b/review/tests/small_site.h
@@ -76,6 +76,13 @@
   void Publish(int version);
   /// \brief A client of a machine sends a request on a new connection.
   void Send(std::size_t machine, const std::string& path, std::uint32_t key);
+  /// \brief A client sends a request with a body on its own connection, which
+  /// it keeps.
+  std::shared_ptr<Sent> SendOn(runtime::HttpClient& client,
+                               std::size_t machine,
+                               const std::string& path,
+                               milliseconds deadline,
+                               std::string body);
   /// \brief One request of each kind from the clients of each machine in turn,
   /// as long as RunFor() runs: ten requests a second.
   void SendRegularly();
@@ -88,6 +95,10 @@
   void WriteRequests();
 
   [[nodiscard]] static core::Time Now();
+  [[nodiscard]] const std::vector<std::shared_ptr<Sent>>& sent() const {
+    return m_sent;
+  }
+  [[nodiscard]] runtime::EventLoop& loop() { return m_loop; }
   [[nodiscard]] platform::testing::StoreStandIn& store() { return m_store; }
   [[nodiscard]] std::vector<Machine>& machines() { return m_machines; }
 
