Show that a heartbeat that cannot be read ends the process

The HTTP server makes a string of a null pointer where the method is unknown, and reads a null URI where the first line has no version.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.."
 root=$PWD
 program=$root/target/platform/figlugd-platform
-case_program=$root/target/review/uploads
+case_program=$root/target/review/odd_heartbeat
 [ -x "$program" ] && [ -x "$case_program" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/tests/small_site.cc
+++ b/review/tests/small_site.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kMachines = 6;
 constexpr core::Duration kStep = milliseconds(10);
 constexpr core::Duration kSendInterval = milliseconds(100);
+constexpr core::Duration kTimeoutMargin = milliseconds(100);
 constexpr std::uint32_t kKeys = 65'536;
 
 struct Place {
@@ -291,6 +292,21 @@
       }));
 }
 
+std::size_t SmallSite::CountCut(core::Duration deadline) const {
+  std::size_t count = 0;
+  for (const auto& sent : m_sent) {
+    const bool has_run =
+        std::ranges::any_of(m_machines, [&](const Machine& machine) {
+          return machine.m_endpoint->executions_by_id().contains(sent->m_id);
+        });
+    const bool is_cut =
+        sent->m_status == -1 &&
+        sent->m_ended_at + kTimeoutMargin < sent->m_sent_at + deadline;
+    count += has_run && is_cut ? 1 : 0;
+  }
+  return count;
+}
+
 void SmallSite::WriteRequests() {
   const auto at = [&](core::Time time) {
     return std::chrono::duration<double>(time - m_started_at).count();
--- a/review/tests/small_site.h
+++ b/review/tests/small_site.h
@@ -91,6 +91,9 @@
   /// \brief Share of the requests sent in a span of time that were served.
   [[nodiscard]] double ServedShare(core::Time from, core::Time to) const;
   [[nodiscard]] std::size_t CountSent(core::Time from, core::Time to) const;
+  /// \brief Number of requests that an endpoint has run and whose connection
+  /// was closed without an answer, well before the client's deadline.
+  [[nodiscard]] std::size_t CountCut(core::Duration deadline) const;
   /// \brief Writes all requests and the runs at the endpoints to the record.
   void WriteRequests();
 
--- a/review/tests/uploads.cc
+++ b/review/tests/uploads.cc
@@ -125,21 +125,6 @@
   std::size_t m_kills = 0;
 };
 
-std::size_t CountLosses(SmallSite& site) {
-  std::size_t losses = 0;
-  for (const auto& sent : site.sent()) {
-    bool has_run = false;
-    for (const auto& machine : site.machines()) {
-      has_run |= machine.m_endpoint->executions_by_id().contains(sent->m_id);
-    }
-    const bool is_cut =
-        sent->m_status == -1 &&
-        sent->m_ended_at + milliseconds(100) < sent->m_sent_at + kDeadline;
-    losses += has_run && is_cut ? 1 : 0;
-  }
-  return losses;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -191,7 +176,7 @@
     site.Note("most memory of process " + std::to_string(i) + ": " +
               std::to_string(memory.peak(i) >> 20) + " MiB");
   }
-  const std::size_t losses = CountLosses(site);
+  const std::size_t losses = site.CountCut(kDeadline);
   site.Note("processes killed for their memory: " +
             std::to_string(memory.kills()));
   site.Note(
