Show that a planned stop cuts answers that are being read

A stop counts as done when no call is open, though its answer is not written yet; the process then waits for 100 ms and exits, 3 s before the end of its grace.

--- a/review/tests/small_site.cc
+++ b/review/tests/small_site.cc
@@ -68,6 +68,13 @@
 }  // namespace
 
 SmallSite::SmallSite(std::string program, const std::string& record)
+    : SmallSite(std::move(program), record, kMachines) {
+  StartAllProcesses();
+}
+
+SmallSite::SmallSite(std::string program,
+                     const std::string& record,
+                     std::size_t endpoints)
     : m_program(std::move(program)),
       m_record(record),
       m_started_at(Now()),
@@ -78,7 +85,7 @@
                           place.m_service, nullptr, nullptr});
   }
   Publish(1);
-  for (std::size_t i = 0; i < kMachines; ++i) {
+  for (std::size_t i = 0; i < endpoints; ++i) {
     const Machine& machine = m_machines[i];
     platform::testing::TargetOptions options;
     options.m_id = "i-" + std::to_string(i);
@@ -90,7 +97,6 @@
     m_machines[i].m_endpoint =
         std::make_unique<platform::testing::TargetStandIn>(m_loop, options);
   }
-  StartAllProcesses();
 }
 
 core::Time SmallSite::Now() {
@@ -181,6 +187,7 @@
   const nlohmann::json resources = {
       Route("browse", "/browse/", "safe", "catalogue", "2500ms"),
       Route("order", "/order/", "unsafe", "orders", "1500ms"),
+      Route("export", "/export/", "safe", "orders", "2500ms"),
       Service("catalogue", true), Service("orders", false)};
   const std::string text = "r" + std::to_string(version);
   m_store.Put(
@@ -297,7 +304,8 @@
   for (const auto& sent : m_sent) {
     const bool has_run =
         std::ranges::any_of(m_machines, [&](const Machine& machine) {
-          return machine.m_endpoint->executions_by_id().contains(sent->m_id);
+          return machine.m_endpoint &&
+                 machine.m_endpoint->executions_by_id().contains(sent->m_id);
         });
     const bool is_cut =
         sent->m_status == -1 &&
@@ -320,6 +328,9 @@
   }
   m_record << "\nruns: endpoint, request, times\n";
   for (const Machine& machine : m_machines) {
+    if (!machine.m_endpoint) {
+      continue;
+    }
     for (const auto& [id, runs] : machine.m_endpoint->executions_by_id()) {
       m_record << machine.m_host << " " << machine.m_service << " " << id << " "
                << runs << "\n";
--- a/review/tests/small_site.h
+++ b/review/tests/small_site.h
@@ -62,6 +62,10 @@
   /// \param program Path of figlugd-platform.
   /// \param record File to write the record to.
   SmallSite(std::string program, const std::string& record);
+  /// \brief Starts the endpoints of the first machines only, and no process.
+  SmallSite(std::string program,
+            const std::string& record,
+            std::size_t endpoints);
 
   /// \brief Writes a line with the time to the record.
   void Note(const std::string& text);
