Reject a request whose first line cannot be read

Cause: HttpServer built strings from pointers that libevhtp leaves null for such a line. The exception passed through C code.

Change: such a request gets 400 and its connection is closed, with a line in the log. A connection whose last response is given within libevhtp's callback is closed too; libevhtp kept it open.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -8,16 +8,25 @@
 #include <unordered_map>
 #include <utility>
 
+#include <log4cplus/loggingmacros.h>
+
+#include "figlug/runtime/logging.h"
+
 namespace figlug::runtime {
 namespace {
 
 constexpr int kBacklog = 1024;
+constexpr std::string_view kInvalidHeadResponse =
+    "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+    "Content-Type: text/plain\r\nContent-Length: 21\r\n\r\n"
+    "invalid request line\n";
 constexpr int kContentTooLarge = 413;
 /// A body that exceeds the limit is read and discarded up to this multiple of
 /// the limit; beyond it, the connection is closed.
 constexpr std::size_t kMaxReadBodyRatio = 4;
 /// Well below the 0.5 s within which work for a client that has left must end.
 constexpr timeval kCloseCheckInterval{0, 100'000};
+constexpr timeval kWriteCheckInterval{0, 1'000};
 
 bool IsClosedByClient(evutil_socket_t socket) {
   pollfd state{socket, POLLRDHUP, 0};
@@ -25,12 +34,7 @@
          (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-std::string MethodName(evhtp_request_t* request) {
-  return htparser_get_methodstr_m(evhtp_request_get_method(request));
-}
-
-std::string PathAndQuery(evhtp_request_t* request) {
-  const evhtp_uri_t* uri = request->uri;
+std::string PathAndQuery(const evhtp_uri_t* uri) {
   std::string path = uri->path->full;
   if (uri->query_raw != nullptr && uri->query_raw[0] != '\0') {
     path += "?";
@@ -143,6 +147,8 @@
     wire::HttpRequest m_request;
     std::optional<wire::HttpResponse> m_refusal;
     std::size_t m_body_bytes = 0;
+    /// Nothing more is read from the connection.
+    bool m_closes_once_written = false;
   };
 
   static evhtp_res OnAccept(evhtp_connection_t* handle, void* arg) {
@@ -173,7 +179,14 @@
                              void* arg) {
     auto* connection = static_cast<Connection*>(arg);
     connection->m_body_bytes = 0;
-    connection->m_request = ReadHead(request);
+    auto head = ReadHead(request);
+    if (!head) {
+      LOG4CPLUS_WARN(ProcessLogger(),
+                     "rejected a request whose first line is invalid");
+      connection->m_impl->RejectConnection(*connection, kInvalidHeadResponse);
+      return EVHTP_RES_OK;
+    }
+    connection->m_request = std::move(*head);
     connection->m_refusal =
         connection->m_impl->m_handlers.m_check_head(connection->m_request);
     return EVHTP_RES_OK;
@@ -184,6 +197,10 @@
   // its size.
   static evhtp_res OnBody(evhtp_request_t*, evbuffer* bytes, void* arg) {
     auto* connection = static_cast<Connection*>(arg);
+    if (connection->m_closes_once_written) {
+      evbuffer_drain(bytes, evbuffer_get_length(bytes));
+      return EVHTP_RES_OK;
+    }
     const std::size_t limit = connection->m_impl->m_body_limit;
     connection->m_body_bytes += evbuffer_get_length(bytes);
     if (connection->m_body_bytes > limit && !connection->m_refusal) {
@@ -209,8 +226,15 @@
   static void OnRequest(evhtp_request_t* request, void* arg) {
     auto* impl = static_cast<Impl*>(arg);
     Connection& connection = impl->m_connections[request->conn];
+    if (connection.m_closes_once_written) {
+      return;
+    }
     if (connection.m_refusal) {
-      impl->Write(request, *connection.m_refusal);
+      // libevhtp does not close a connection whose last response is written in
+      // this callback.
+      if (impl->Write(request, *connection.m_refusal)) {
+        CloseOnceWritten(connection);
+      }
       connection.m_refusal.reset();
       connection.m_request = {};
       return;
@@ -235,8 +259,12 @@
   // at intervals.
   static void OnCloseCheck(evutil_socket_t, short, void* arg) {
     auto* connection = static_cast<Connection*>(arg);
-    if (IsClosedByClient(connection->m_handle->sock)) {
-      evhtp_connection_free(connection->m_handle);
+    evhtp_connection_t* handle = connection->m_handle;
+    const bool is_written =
+        connection->m_closes_once_written &&
+        evbuffer_get_length(bufferevent_get_output(handle->bev)) == 0;
+    if (is_written || IsClosedByClient(handle->sock)) {
+      evhtp_connection_free(handle);
       return;
     }
     event_add(connection->m_close_check, &kCloseCheckInterval);
@@ -258,15 +286,38 @@
     return EVHTP_RES_OK;
   }
 
-  static wire::HttpRequest ReadHead(evhtp_request_t* request) {
+  // libevhtp has no name for an unknown method, and no path for a request line
+  // without an HTTP version.
+  static std::optional<wire::HttpRequest> ReadHead(evhtp_request_t* request) {
+    const char* method =
+        htparser_get_methodstr_m(evhtp_request_get_method(request));
+    const evhtp_uri_t* uri = request->uri;
+    if (method == nullptr || uri == nullptr || uri->path == nullptr ||
+        uri->path->full == nullptr) {
+      return std::nullopt;
+    }
     wire::HttpRequest head;
-    head.m_method = MethodName(request);
-    head.m_path = PathAndQuery(request);
+    head.m_method = method;
+    head.m_path = PathAndQuery(uri);
     evhtp_headers_for_each(request->headers_in, &CopyHeader, &head.m_headers);
     return head;
   }
 
-  void Write(evhtp_request_t* request, const wire::HttpResponse& response) {
+  // libevhtp cannot respond to a request whose first line it could not read.
+  static void RejectConnection(Connection& connection,
+                               std::string_view response) {
+    bufferevent_write(connection.m_handle->bev, response.data(),
+                      response.size());
+    CloseOnceWritten(connection);
+  }
+
+  static void CloseOnceWritten(Connection& connection) {
+    connection.m_closes_once_written = true;
+    event_add(connection.m_close_check, &kWriteCheckInterval);
+  }
+
+  // Returns whether it is the last response on its connection.
+  bool Write(evhtp_request_t* request, const wire::HttpResponse& response) {
     const auto add = [&](const std::string& name, const std::string& value) {
       evhtp_headers_add_header(
           request->headers_out,
@@ -275,14 +326,19 @@
     for (const wire::Header& header : response.m_headers) {
       add(header.m_name, header.m_value);
     }
-    if ((!m_is_listening || m_close_after_response) &&
-        wire::FindHeader(response.m_headers, "Connection") == nullptr) {
+    bool is_last =
+        wire::FindHeader(response.m_headers, "Connection") != nullptr;
+    if (!is_last && (!m_is_listening || m_close_after_response)) {
       add("Connection", "close");
+      is_last = true;
+    }
+    if (is_last) {
       evhtp_request_set_keepalive(request, 0);
     }
     evbuffer_add(request->buffer_out, response.m_body.data(),
                  response.m_body.size());
     evhtp_send_reply(request, static_cast<evhtp_res>(response.m_status));
+    return is_last;
   }
 
   EventLoop& m_loop;
--- a/runtime/tests/http_server_test.cc
+++ b/runtime/tests/http_server_test.cc
@@ -7,8 +7,10 @@
 #include <unistd.h>
 
 #include <array>
+#include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -22,6 +24,8 @@
 constexpr core::Duration kWaitTimeout = std::chrono::seconds(10);
 constexpr std::size_t kMaxBodyBytes = 1U << 20;
 constexpr std::size_t kAnswerBytes = 10'000;
+/// Bytes of "HTTP/1.1 400 ".
+constexpr std::size_t kStatusLine = 13;
 const core::Endpoint kServerAddress = {"127.0.0.1", 7973};
 constexpr std::string_view kRequest =
     "GET /order/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
@@ -42,14 +46,14 @@
     CHECK(send(m_socket, bytes.data(), bytes.size(), 0) ==
           static_cast<ssize_t>(bytes.size()));
   }
-  /// \brief Reads what has arrived and returns its length.
-  [[nodiscard]] std::size_t Receive() const {
-    std::size_t bytes = 0;
+  /// \brief Reads what has arrived.
+  [[nodiscard]] std::string Receive() const {
+    std::string bytes;
     std::array<char, 4096> buffer{};
     for (ssize_t length = 0;
          (length = recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT)) >
          0;) {
-      bytes += static_cast<std::size_t>(length);
+      bytes.append(buffer.data(), static_cast<std::size_t>(length));
     }
     return bytes;
   }
@@ -190,10 +194,80 @@
   CHECK(server.WaitUntil(
       [&] { return server.requests() == 1 && server.connections() == 2; }));
   CHECK(server.AnswerAndEnd(kAnswerBytes));
-  CHECK(client.Receive() > kAnswerBytes);
+  CHECK(client.Receive().size() > kAnswerBytes);
   late.Send(kRequest);
   server.RunFor(milliseconds(100));
   LONGS_EQUAL(1, server.requests());
 }
 
+// Guards against a process that ends because of a request head that cannot be
+// read, and against losing the requests of other clients with it.
+TEST(HttpServer, AHeadThatCannotBeReadIsRejected) {
+  constexpr std::array<std::string_view, 4> heads = {
+      // Unknown method.
+      "PMST /order/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}",
+      // No HTTP version.
+      "POST /order/1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}",
+      "GET /order/1\r\n\r\n",
+      // Neither.
+      "PMST /order/1\r\n\r\n",
+  };
+  for (const std::string_view head : heads) {
+    Server server;
+    Client other;
+    other.Send(kRequest);
+    CHECK(server.WaitUntil([&] { return server.requests() == 1; }));
+    Client client;
+    client.Send(head);
+    std::string answer;
+    CHECK(server.WaitUntil(
+        [&] { return (answer += client.Receive()).size() >= kStatusLine; }));
+    STRCMP_CONTAINS(" 400 ", answer.c_str());
+    CHECK(server.WaitUntil([&] { return server.connections() == 1; }));
+    LONGS_EQUAL(1, server.requests());
+    CHECK(server.AnswerAndEnd(kAnswerBytes));
+    CHECK(other.Receive().size() > kAnswerBytes);
+  }
+}
+
+// Guards against null pointers and exceptions in the callbacks of the HTTP
+// library, which end the process.
+TEST(HttpServer, ArbitraryChangesToAHeadDoNotEndTheProcess) {
+  constexpr std::string_view request =
+      "POST /order/1?limit=2&x#part HTTP/1.1\r\nHost: shop.example\r\n"
+      "X-Empty:\r\nContent-Length: 4\r\n\r\nbody";
+  constexpr std::string_view alphabet = "\r\n \t:/?#%&=;@[]0aHTP\x00\x7f\xff";
+  constexpr int rounds = 2000;
+  std::mt19937 random(31);
+  const auto below = [&](std::size_t end) { return random() % end; };
+  Server server;
+  for (int round = 0; round < rounds; ++round) {
+    std::string bytes(request);
+    for (std::size_t changes = 1 + below(3); changes > 0; --changes) {
+      const std::size_t at = below(bytes.size());
+      switch (below(4)) {
+        case 0:
+          bytes[at] = alphabet[below(alphabet.size())];
+          break;
+        case 1:
+          bytes.insert(at, 1, alphabet[below(alphabet.size())]);
+          break;
+        case 2:
+          bytes.erase(at, 1 + below(8));
+          break;
+        default:
+          bytes.insert(at, bytes.substr(below(bytes.size()), below(16)));
+          break;
+      }
+    }
+    Client client;
+    client.Send(bytes);
+    server.RunFor(milliseconds(1));
+  }
+  Client last;
+  const int before = server.requests();
+  last.Send(kRequest);
+  CHECK(server.WaitUntil([&] { return server.requests() > before; }));
+}
+
 }  // namespace figlug::runtime
