Bound what all connections buffer together

Seen by operators of similar systems: an endpoint sent bytes without end; the machine that had called it ran out of memory, and the requests of its other clients ended with it. Here: limits existed for one connection (64 MiB of body) but not for all of them together, and none for a request's head or for arriving bodies of other connections.

Cause: each connection was bounded by itself, at 64 MiB on any machine; the only total was checked once a body was complete, and counted no responses, copies or frames.

BufferMeter and BufferCharge count the buffers of callers, targets, heartbeats and peers. A request's head ends at 64 KiB with 431. glibc's threshold for mapped blocks is fixed, since it otherwise follows the largest block and fragments the heap.

--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -13,6 +13,7 @@
 #include <tl/expected.hpp>
 
 #include "figlug/core/node.h"
+#include "figlug/runtime/buffer_meter.h"
 #include "figlug/runtime/connection_probe.h"
 #include "figlug/runtime/datagram_socket.h"
 #include "figlug/runtime/decision_log.h"
@@ -81,6 +82,8 @@
     m_on_operator_update = std::move(handler);
   }
   [[nodiscard]] core::Node& node() noexcept { return m_node; }
+  /// \brief Counts what all connections of the process buffer.
+  [[nodiscard]] BufferMeter& buffers() noexcept { return m_buffers; }
   /// \brief Renders all metrics in the Prometheus text format.
   [[nodiscard]] std::string RenderMetrics();
 
@@ -91,7 +94,8 @@
     std::string m_service;
     TraceContext m_trace;
     core::Now m_started;
-    std::size_t m_buffered_bytes = 0;
+    /// The bodies of request and response.
+    std::unique_ptr<BufferCharge> m_held;
     /// The target's response, from the attempt that was answered.
     wire::HttpResponse m_response;
   };
@@ -102,6 +106,9 @@
     core::AttemptId m_attempt{0};
     core::AttemptHead m_head;
     std::shared_ptr<const wire::HttpRequest> m_request;
+    /// The bodies of request and response; unset for attempts of this process's
+    /// own ingress, whose call holds them.
+    std::unique_ptr<BufferCharge> m_held;
     TraceContext m_trace;
     core::Now m_started;
     std::optional<HttpCallId> m_target_call;
@@ -122,6 +129,8 @@
 
   // Events from sockets and the log.
   std::optional<wire::HttpResponse> Screen(const wire::HttpRequest& head);
+  [[nodiscard]] wire::HttpResponse MakeOverloadResponse(
+      const wire::HttpRequest& request) const;
   void OnLogHealth(bool is_healthy);
   void OnHttpRequest(ExchangeId id, wire::HttpRequest&& request);
   void OnCallerDisconnected(ExchangeId id);
@@ -184,6 +193,7 @@
   DialectType m_dialect;
   std::mt19937_64 m_random;
   core::Node m_node;
+  BufferMeter m_buffers;
   HttpServer m_front;
   HttpClient m_target;
   /// Grants must not wait for requests.
@@ -205,7 +215,6 @@
   Metrics m_metrics;
   bool m_is_log_available = false;
   std::uint64_t m_last_work_id = 0;
-  std::size_t m_buffered_bytes = 0;
   std::unordered_map<core::CallId, Call> m_calls;
   std::unordered_map<core::AttemptId, core::CallId> m_attempts;
   std::unordered_map<core::WorkId, Work> m_work;
--- a/runtime/include/figlug/runtime/http_client.h
+++ b/runtime/include/figlug/runtime/http_client.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include "figlug/core/endpoint.h"
+#include "figlug/runtime/buffer_meter.h"
 #include "figlug/runtime/event_loop.h"
 #include "figlug/wire/http_message.h"
 
@@ -26,7 +27,8 @@
   /// request.
   kConnectionLost,
   kTimeout,
-  /// The response's body exceeds the limit.
+  /// The response exceeds the limit, or all connections together buffer too
+  /// much.
   kTooLarge,
   /// The response belongs to another request.
   kMismatchedResponse,
@@ -50,11 +52,14 @@
   /// \param body_limit Maximum size of a response's body in bytes.
   /// \param max_idle_time Idle time after which a connection is not reused,
   /// even if the server's Keep-Alive header allows more.
+  /// \param meter Counts what the connections buffer; must outlive the client.
+  /// Null: it is not counted.
   HttpClient(EventLoop& loop,
              core::Endpoint to,
              std::size_t max_connections,
              std::size_t body_limit,
-             core::Duration max_idle_time = core::Duration::max());
+             core::Duration max_idle_time = core::Duration::max(),
+             BufferMeter* meter = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/runtime/include/figlug/runtime/http_server.h
+++ b/runtime/include/figlug/runtime/http_server.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "figlug/core/endpoint.h"
+#include "figlug/runtime/buffer_meter.h"
 #include "figlug/runtime/event_loop.h"
 #include "figlug/runtime/runtime_error.h"
 #include "figlug/wire/http_message.h"
@@ -28,6 +29,10 @@
   std::function<void(ExchangeId, wire::HttpRequest&&)> m_on_request;
   /// Called when the client has disconnected before the response was sent.
   std::function<void(ExchangeId)> m_on_disconnect;
+  /// Returns the response to a request that is discarded while it arrives
+  /// because all connections together buffer too much; if unset, it is 503.
+  std::function<wire::HttpResponse(const wire::HttpRequest&)>
+      m_make_overload_response = {};
 };
 
 /// \brief An HTTP/1.1 server over libevhtp.
@@ -40,9 +45,12 @@
  public:
   /// \param body_limit Maximum size of a request body in bytes; a larger one is
   /// answered with 413.
+  /// \param meter Counts what the connections buffer; must outlive the server.
+  /// Null: it is not counted.
   HttpServer(EventLoop& loop,
              HttpServerHandlers handlers,
-             std::size_t body_limit);
+             std::size_t body_limit,
+             BufferMeter* meter = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -6,6 +6,7 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <algorithm>
+#include <charconv>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -32,6 +33,19 @@
 inline constexpr core::Duration kWriteCheckInterval =
     std::chrono::milliseconds(2);
 
+/// Bodies arrive and leave within about this time.
+inline constexpr core::Duration kOverloadRetryAfter = std::chrono::seconds(1);
+
+// Zero if the request does not state a valid length.
+inline std::size_t DeclaredLength(const wire::HttpRequest& head) {
+  const std::string* text = wire::FindHeader(head.m_headers, "Content-Length");
+  std::size_t length = 0;
+  if (text != nullptr) {
+    std::from_chars(text->data(), text->data() + text->size(), length);
+  }
+  return length;
+}
+
 inline core::CallId ToCallId(ExchangeId id) {
   return core::CallId(static_cast<std::uint64_t>(id));
 }
@@ -109,18 +123,22 @@
       m_dialect(std::move(speech)),
       m_random(seed ^ 0x9e3779b97f4a7c15U),
       m_node(impl::WithIdentity(settings, seed), ReadClocks()),
+      m_buffers(settings.m_buffer_limit_kib * impl::kBytesPerKib),
       m_front(loop,
               {[this](const auto& head) { return Screen(head); },
                [this](ExchangeId id, wire::HttpRequest&& request) {
                  OnHttpRequest(id, std::move(request));
                },
-               [this](ExchangeId id) { OnCallerDisconnected(id); }},
-              settings.m_body_limit_kib * impl::kBytesPerKib),
+               [this](ExchangeId id) { OnCallerDisconnected(id); },
+               [this](const auto& head) { return MakeOverloadResponse(head); }},
+              settings.m_body_limit_kib * impl::kBytesPerKib,
+              &m_buffers),
       m_target(loop,
                settings.m_target,
                settings.m_target_connections,
                settings.m_body_limit_kib * impl::kBytesPerKib,
-               settings.m_target_idle_timeout),
+               settings.m_target_idle_timeout,
+               &m_buffers),
       m_grant_client(loop,
                      settings.m_target,
                      impl::kHoldConnections,
@@ -138,7 +156,9 @@
                [this](core::AttemptId attempt, bool was_sent) {
                  OnAttemptLost(attempt, was_sent);
                },
-               [this](PeerConnectionId peer) { OnPeerClosed(peer); }}),
+               [this](PeerConnectionId peer) { OnPeerClosed(peer); }},
+              kInboundIdleTime,
+              &m_buffers),
       m_datagrams(loop,
                   [this](const core::Datagram& datagram) {
                     HandleEvent([&](core::Now now, auto& sink) {
@@ -297,7 +317,21 @@
   if (impl::IsAdminRequest<DialectType>(head)) {
     return std::nullopt;
   }
-  return m_dialect.Screen(m_node, head);
+  if (auto refusal = m_dialect.Screen(m_node, head)) {
+    return refusal;
+  }
+  if (!m_buffers.pool().Admits(impl::DeclaredLength(head))) {
+    return MakeOverloadResponse(head);
+  }
+  return std::nullopt;
+}
+
+template <LogService Log, Dialect DialectType>
+wire::HttpResponse Daemon<Log, DialectType>::MakeOverloadResponse(
+    const wire::HttpRequest& request) const {
+  return m_dialect.MakeErrorResponse(
+      request, core::FinishCall{.m_reason = core::Reason::kOverloaded,
+                                .m_retry_after = impl::kOverloadRetryAfter});
 }
 
 template <LogService Log, Dialect DialectType>
@@ -312,12 +346,8 @@
     m_front.Respond(id, head.error());
     return;
   }
-  const std::size_t limit = m_settings.m_buffer_limit_kib * impl::kBytesPerKib;
-  if (m_buffered_bytes + request.m_body.size() > limit) {
-    m_front.Respond(id,
-                    m_dialect.MakeErrorResponse(
-                        request, {impl::ToCallId(id), core::Outcome::kNotRun,
-                                  core::Reason::kOverloaded}));
+  if (!m_buffers.pool().Admits(request.m_body.size())) {
+    m_front.Respond(id, MakeOverloadResponse(request));
     return;
   }
   const std::string* parent =
@@ -327,8 +357,8 @@
   call.m_trace = StartSpan(
       parent == nullptr ? std::nullopt : ParseTraceparent(*parent), m_random);
   call.m_started = ReadClocks();
-  call.m_buffered_bytes = request.m_body.size();
-  m_buffered_bytes += call.m_buffered_bytes;
+  call.m_held = std::make_unique<BufferCharge>(m_buffers);
+  call.m_held->Set(request.m_body.size());
   request.m_headers = m_dialect.RequestHeaders(request.m_headers);
   if (IsTracing()) {
     impl::SetTraceparent(request, call.m_trace);
@@ -400,7 +430,8 @@
       {"open_calls", static_cast<double>(m_node.ingress().open_calls())},
       {"target_connections", static_cast<double>(m_target.connections())},
       {"caller_connections", static_cast<double>(m_front.connections())},
-      {"buffered_bytes", static_cast<double>(m_buffered_bytes)},
+      {"buffered_bytes", static_cast<double>(m_buffers.pool().used())},
+      {"discarded_messages", static_cast<double>(m_buffers.pool().discarded())},
       {"peer_sent_bytes", static_cast<double>(m_peers.bytes_sent())},
       {"log_lines_omitted", static_cast<double>(m_decisions.omitted())},
       {"log_lines_lost", static_cast<double>(LostLogLines())},
@@ -419,9 +450,20 @@
 void Daemon<Log, DialectType>::OnFrame(PeerConnectionId from,
                                        wire::Frame&& frame) {
   if (auto* attempt = std::get_if<wire::AttemptFrame>(&frame)) {
+    const std::size_t body_bytes = attempt->m_request.m_body.size();
+    if (!m_buffers.pool().Admits(body_bytes)) {
+      m_peers.Reply(from, {attempt->m_attempt,
+                           core::Outcome::kNotRun,
+                           core::Reason::kOverloaded,
+                           {},
+                           {}});
+      return;
+    }
     Work work;
     work.m_peer = from;
     work.m_attempt = attempt->m_attempt;
+    work.m_held = std::make_unique<BufferCharge>(m_buffers);
+    work.m_held->Set(body_bytes);
     work.m_head = std::move(attempt->m_head);
     work.m_request = std::make_shared<const wire::HttpRequest>(
         std::move(attempt->m_request));
@@ -512,6 +554,8 @@
   const auto call = m_calls.find(it->second);
   m_attempts.erase(it);
   if (call != m_calls.end() && outcome == core::Outcome::kAnswered) {
+    call->second.m_held->Set(call->second.m_request->m_body.size() +
+                             response.m_body.size());
     call->second.m_response = std::move(response);
   }
   HandleEvent([&](core::Now now, auto& sink) {
@@ -767,7 +811,6 @@
     return;
   }
   Call& call = node.mapped();
-  m_buffered_bytes -= call.m_buffered_bytes;
   const core::Now now = ReadClocks();
   const core::Duration length = now.m_time - call.m_started.m_time;
   m_metrics.CountCall(now.m_time, action.m_outcome, action.m_reason, length);
--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -9,6 +9,7 @@
 
 #include "figlug/core/endpoint.h"
 #include "figlug/core/ids.h"
+#include "figlug/runtime/buffer_meter.h"
 #include "figlug/runtime/event_loop.h"
 #include "figlug/runtime/runtime_error.h"
 #include "figlug/wire/frame.h"
@@ -47,9 +48,12 @@
  public:
   /// \param max_inbound_idle Time after which a silent connection that a peer
   /// opened is probed, then closed.
+  /// \param meter Counts what the connections buffer; must outlive the
+  /// transport. Null: it is not counted.
   PeerTransport(EventLoop& loop,
                 PeerHandlers handlers,
-                core::Duration max_inbound_idle = kInboundIdleTime);
+                core::Duration max_inbound_idle = kInboundIdleTime,
+                BufferMeter* meter = nullptr);
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
--- a/runtime/include/figlug/runtime/program.h
+++ b/runtime/include/figlug/runtime/program.h
@@ -52,6 +52,10 @@
 /// \param level The log level of the reloaded settings, or the error message.
 void ApplyReload(const tl::expected<std::string, std::string>& level);
 
+/// \brief Makes the process return the memory of large bodies once they are
+/// freed.
+void LimitFragmentation();
+
 /// \brief Parses the command line, loads the settings file and runs a program.
 /// \param run Called with the settings and a function that reloads them; the
 /// process exits with its result.
@@ -82,6 +86,7 @@
       return 0;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    LimitFragmentation();
     ExitProcess(run(*settings, [&] { return LoadSettings(path, parse); }));
   } catch (const TCLAP::ArgException& error) {
     std::cerr << info.m_name << ": " << error.argId() << ": " << error.error()
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -104,12 +104,14 @@
        core::Endpoint to,
        std::size_t max_connections,
        std::size_t body_limit,
-       core::Duration max_idle_time)
+       core::Duration max_idle_time,
+       BufferMeter* meter)
       : m_loop(loop),
         m_to(std::move(to)),
         m_max_connections(max_connections),
         m_body_limit(body_limit),
-        m_max_idle_time(max_idle_time) {}
+        m_max_idle_time(max_idle_time),
+        m_meter(meter) {}
 
   ~Impl() {
     m_is_closing = true;
@@ -137,6 +139,14 @@
     call.m_callback = std::move(callback);
     call.m_check = std::move(check);
     call.m_deadline = ReadClocks().m_time + std::max(timeout, kMinTimeout);
+    if (m_meter != nullptr) {
+      call.m_unsent.emplace(*m_meter);
+      call.m_unsent->Set(request.m_body.size());
+      call.m_arriving.emplace(*m_meter, [this, &call] {
+        call.m_is_discarded = true;
+        FailOversizedSoon();
+      });
+    }
     if (!m_idle_connections.empty() || m_open < m_max_connections) {
       Start(call, request);
     } else {
@@ -175,6 +185,13 @@
     std::optional<evhttp_request_error> m_error;
     bool m_is_cancelled = false;
     wire::HttpRequest m_pending_request;
+    /// The request's body until it is written.
+    std::optional<BufferCharge> m_unsent;
+    /// The response while it arrives.
+    std::optional<BufferCharge> m_arriving;
+    std::size_t m_received = 0;
+    /// The response is given up because too much is buffered.
+    bool m_is_discarded = false;
   };
 
   struct IdleConnection {
@@ -223,6 +240,7 @@
     evhttp_connection_set_max_headers_size(
         connection, static_cast<ev_ssize_t>(kMaxHeadBytes));
     evbuffer_add_cb(InputOf(connection), &OnInput, this);
+    evbuffer_add_cb(OutputOf(connection), &OnOutput, this);
     evhttp_connection_set_max_body_size(connection,
                                         static_cast<ev_ssize_t>(m_body_limit));
     return connection;
@@ -232,17 +250,54 @@
     return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
   }
 
+  static evbuffer* OutputOf(evhttp_connection* connection) {
+    return bufferevent_get_output(
+        evhttp_connection_get_bufferevent(connection));
+  }
+
+  // The call that uses the connection of a buffer, or null.
+  Call* FindCall(const std::unordered_map<evbuffer*, HttpCallId>& buffers,
+                 evbuffer* buffer) {
+    const auto it = buffers.find(buffer);
+    const auto call =
+        it == buffers.end() ? m_calls.end() : m_calls.find(it->second);
+    return call == m_calls.end() ? nullptr : &call->second;
+  }
+
   [[nodiscard]] bool IsOversized(evbuffer* input) const {
     return evbuffer_get_length(input) > kMaxHeadBytes + m_body_limit;
   }
 
   // evhttp limits heads and bodies, but not the line that begins a chunk.
-  static void OnInput(evbuffer* input, const evbuffer_cb_info*, void* arg) {
+  static void OnInput(evbuffer* input,
+                      const evbuffer_cb_info* change,
+                      void* arg) {
+    auto* impl = static_cast<Impl*>(arg);
+    if (impl->IsOversized(input)) {
+      impl->FailOversizedSoon();
+    }
+    Call* call = impl->FindCall(impl->m_inputs, input);
+    if (call != nullptr && call->m_arriving && change->n_added > 0) {
+      // evhttp keeps what it removes from the input.
+      call->m_received += change->n_added;
+      call->m_arriving->Set(call->m_received);
+    }
+  }
+
+  static void OnOutput(evbuffer* output,
+                       const evbuffer_cb_info* change,
+                       void* arg) {
     auto* impl = static_cast<Impl*>(arg);
-    // Setting the timer again would postpone it for as long as bytes arrive.
-    if (impl->IsOversized(input) &&
-        !std::exchange(impl->m_has_oversized, true)) {
-      impl->m_fail_oversized.Set(core::Duration::zero());
+    Call* call = impl->FindCall(impl->m_outputs, output);
+    if (call != nullptr && call->m_unsent && change->n_deleted > 0) {
+      call->m_unsent->Set(evbuffer_get_length(output));
+    }
+  }
+
+  // Setting the timer again would postpone it for as long as bytes arrive.
+  void FailOversizedSoon() {
+    if (!std::exchange(m_has_oversized, true)) {
+      m_fail_oversized.Set(core::Duration::zero());
     }
   }
 
@@ -251,7 +306,7 @@
     std::vector<HttpCallId> oversized;
     for (const auto& [id, call] : m_calls) {
       if (call.m_connection != nullptr &&
-          IsOversized(InputOf(call.m_connection))) {
+          (call.m_is_discarded || IsOversized(InputOf(call.m_connection)))) {
         oversized.push_back(id);
       }
     }
@@ -272,6 +327,7 @@
     call.m_is_cancelled = true;
     if (call.m_connection != nullptr) {
       --m_open;
+      Unassign(call.m_connection);
       evhttp_connection_free(call.m_connection);
     }
     m_calls.erase(call.m_id);
@@ -284,6 +340,8 @@
       return;
     }
     call.m_connection = AcquireConnection();
+    m_inputs[InputOf(call.m_connection)] = call.m_id;
+    m_outputs[OutputOf(call.m_connection)] = call.m_id;
     call.m_started = ReadClocks().m_time;
     const auto remaining = std::max((call.m_deadline - call.m_started).count(),
                                     kMinTimeout.count());
@@ -388,9 +446,20 @@
     m_free_retired.Set(core::Duration::zero());
   }
 
+  // The buffers of the connection no longer belong to a call.
+  void Unassign(evhttp_connection* connection) {
+    m_inputs.erase(InputOf(connection));
+    m_outputs.erase(OutputOf(connection));
+  }
+
   void Finish(HttpCallId id, Result&& result) {
     auto node = m_calls.extract(id);
     if (!node.empty()) {
+      if (node.mapped().m_connection != nullptr) {
+        Unassign(node.mapped().m_connection);
+      }
+      node.mapped().m_unsent.reset();
+      node.mapped().m_arriving.reset();
       node.mapped().m_callback(std::move(result));
     }
     StartQueued();
@@ -417,6 +486,7 @@
   std::size_t m_max_connections;
   std::size_t m_body_limit;
   core::Duration m_max_idle_time;
+  BufferMeter* m_meter;
   std::function<void()> m_on_disconnected;
   std::size_t m_open = 0;
   bool m_is_closing = false;
@@ -424,6 +494,9 @@
   std::uint64_t m_last_id = 0;
   std::unordered_map<HttpCallId, Call> m_calls;
   std::deque<HttpCallId> m_queue;
+  /// Calls by the buffers of their connections.
+  std::unordered_map<evbuffer*, HttpCallId> m_inputs;
+  std::unordered_map<evbuffer*, HttpCallId> m_outputs;
   std::vector<IdleConnection> m_idle_connections;
   std::vector<evhttp_connection*> m_retired;
   Timer m_free_retired{m_loop, [this] { FreeRetired(); }};
@@ -434,12 +507,14 @@
                        core::Endpoint to,
                        std::size_t max_connections,
                        std::size_t body_limit,
-                       core::Duration max_idle_time)
+                       core::Duration max_idle_time,
+                       BufferMeter* meter)
     : m_impl(std::make_unique<Impl>(loop,
                                     std::move(to),
                                     max_connections,
                                     body_limit,
-                                    max_idle_time)) {}
+                                    max_idle_time,
+                                    meter)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -20,7 +20,18 @@
     "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
     "Content-Type: text/plain\r\nContent-Length: 21\r\n\r\n"
     "invalid request line\n";
+constexpr std::string_view kHeadTooLargeResponse =
+    "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n"
+    "Content-Type: text/plain\r\nContent-Length: 26\r\n\r\n"
+    "request head is too large\n";
+constexpr std::string_view kOverloadResponse =
+    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+    "Content-Length: 0\r\n\r\n";
+constexpr std::uint16_t kUnavailable = 503;
 constexpr int kContentTooLarge = 413;
+constexpr std::size_t kMaxHeadBytes = 64U << 10;
+/// Memory that libevhtp uses for a header field besides its name and value.
+constexpr std::size_t kHeaderFieldBytes = 64;
 /// A body that exceeds the limit is read and discarded up to this multiple of
 /// the limit; beyond it, the connection is closed.
 constexpr std::size_t kMaxReadBodyRatio = 4;
@@ -43,6 +54,11 @@
   return path;
 }
 
+// Assigning an empty string would keep the memory.
+void FreeBody(wire::HttpRequest& request) {
+  std::string().swap(request.m_body);
+}
+
 int CopyHeader(evhtp_header_t* header, void* out) {
   static_cast<wire::Headers*>(out)->push_back(
       {std::string(header->key, header->klen),
@@ -54,10 +70,14 @@
 
 class HttpServer::Impl {
  public:
-  Impl(EventLoop& loop, HttpServerHandlers handlers, std::size_t body_limit)
+  Impl(EventLoop& loop,
+       HttpServerHandlers handlers,
+       std::size_t body_limit,
+       BufferMeter* meter)
       : m_loop(loop),
         m_handlers(std::move(handlers)),
         m_body_limit(body_limit),
+        m_meter(meter),
         m_server(evhtp_new(loop.base(), nullptr)) {
     evhtp_enable_flag(m_server, EVHTP_FLAG_ENABLE_NODELAY);
     evhtp_set_gencb(m_server, &OnRequest, this);
@@ -147,6 +167,12 @@
     wire::HttpRequest m_request;
     std::optional<wire::HttpResponse> m_refusal;
     std::size_t m_body_bytes = 0;
+    std::size_t m_head_bytes = 0;
+    bool m_has_head = false;
+    /// The request while it arrives.
+    std::optional<BufferCharge> m_arriving;
+    /// The responses that wait to be written.
+    std::optional<BufferCharge> m_unsent;
     /// Nothing more is read from the connection.
     bool m_closes_once_written = false;
   };
@@ -168,16 +194,81 @@
           reinterpret_cast<evhtp_hook>(reinterpret_cast<void*>(hook)),
           &connection);
     };
+    set(evhtp_hook_on_header, &OnHeader);
     set(evhtp_hook_on_headers, &OnHeaders);
     set(evhtp_hook_on_read, &OnBody);
     set(evhtp_hook_on_connection_fini, &OnFini);
+    if (impl->m_meter != nullptr) {
+      connection.m_unsent.emplace(*impl->m_meter);
+      evbuffer_add_cb(bufferevent_get_output(handle->bev), &OnOutput,
+                      &connection);
+    }
+    return EVHTP_RES_OK;
+  }
+
+  static void OnOutput(evbuffer* output, const evbuffer_cb_info*, void* arg) {
+    static_cast<Connection*>(arg)->m_unsent->Set(evbuffer_get_length(output));
+  }
+
+  // libevhtp limits the length of a header field, but not their number.
+  static evhtp_res OnHeader(evhtp_request_t*,
+                            evhtp_header_t* header,
+                            void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    if (connection->m_closes_once_written) {
+      return EVHTP_RES_OK;
+    }
+    connection->m_head_bytes += header->klen + header->vlen + kHeaderFieldBytes;
+    if (connection->m_head_bytes > kMaxHeadBytes) {
+      LOG4CPLUS_WARN(ProcessLogger(),
+                     "rejected a request whose head is too large");
+      RejectConnection(*connection, kHeadTooLargeResponse);
+      return EVHTP_RES_OK;
+    }
+    CountArriving(*connection);
     return EVHTP_RES_OK;
   }
 
+  static void CountArriving(Connection& connection) {
+    Impl* impl = connection.m_impl;
+    if (impl->m_meter == nullptr) {
+      return;
+    }
+    if (!connection.m_arriving) {
+      connection.m_arriving.emplace(
+          *impl->m_meter, [&connection] { DiscardArriving(connection); });
+    }
+    connection.m_arriving->Set(connection.m_head_bytes +
+                               connection.m_request.m_body.size());
+  }
+
+  static void DiscardArriving(Connection& connection) {
+    if (!connection.m_has_head) {
+      RejectConnection(connection, kOverloadResponse);
+      return;
+    }
+    FreeBody(connection.m_request);
+    if (!connection.m_refusal) {
+      const auto& make = connection.m_impl->m_handlers.m_make_overload_response;
+      connection.m_refusal = make ? make(connection.m_request)
+                                  : wire::HttpResponse{kUnavailable, {}, ""};
+    }
+  }
+
+  // The request is complete: it is delivered, or its body has been discarded.
+  static void ResetArriving(Connection& connection) {
+    connection.m_arriving.reset();
+    connection.m_head_bytes = 0;
+    connection.m_has_head = false;
+  }
+
   static evhtp_res OnHeaders(evhtp_request_t* request,
                              evhtp_headers_t*,
                              void* arg) {
     auto* connection = static_cast<Connection*>(arg);
+    if (connection->m_closes_once_written) {
+      return EVHTP_RES_OK;
+    }
     connection->m_body_bytes = 0;
     auto head = ReadHead(request);
     if (!head) {
@@ -187,6 +278,7 @@
       return EVHTP_RES_OK;
     }
     connection->m_request = std::move(*head);
+    connection->m_has_head = true;
     connection->m_refusal =
         connection->m_impl->m_handlers.m_check_head(connection->m_request);
     return EVHTP_RES_OK;
@@ -204,6 +296,7 @@
     const std::size_t limit = connection->m_impl->m_body_limit;
     connection->m_body_bytes += evbuffer_get_length(bytes);
     if (connection->m_body_bytes > limit && !connection->m_refusal) {
+      FreeBody(connection->m_request);
       connection->m_refusal = wire::HttpResponse{
           kContentTooLarge,
           {{"Figlug-Outcome", "not-run"}, {"Connection", "close"}},
@@ -216,6 +309,7 @@
       const std::size_t old_length = body.size();
       body.resize(old_length + length);
       evbuffer_copyout(bytes, body.data() + old_length, length);
+      CountArriving(*connection);
     }
     evbuffer_drain(bytes, evbuffer_get_length(bytes));
     return connection->m_body_bytes > kMaxReadBodyRatio * limit
@@ -226,6 +320,7 @@
   static void OnRequest(evhtp_request_t* request, void* arg) {
     auto* impl = static_cast<Impl*>(arg);
     Connection& connection = impl->m_connections[request->conn];
+    ResetArriving(connection);
     if (connection.m_closes_once_written) {
       return;
     }
@@ -276,6 +371,10 @@
     const std::optional<ExchangeId> exchange = connection->m_exchange;
     event_free(connection->m_close_event);
     event_free(connection->m_close_check);
+    if (connection->m_unsent) {
+      evbuffer_remove_cb(bufferevent_get_output(handle->bev), &OnOutput,
+                         connection);
+    }
     impl->m_connections.erase(handle);
     if (exchange) {
       impl->m_exchanges.erase(*exchange);
@@ -344,6 +443,7 @@
   EventLoop& m_loop;
   HttpServerHandlers m_handlers;
   std::size_t m_body_limit;
+  BufferMeter* m_meter;
   evhtp_t* m_server;
   bool m_is_listening = false;
   bool m_close_after_response = false;
@@ -356,8 +456,12 @@
 
 HttpServer::HttpServer(EventLoop& loop,
                        HttpServerHandlers handlers,
-                       std::size_t body_limit)
-    : m_impl(std::make_unique<Impl>(loop, std::move(handlers), body_limit)) {}
+                       std::size_t body_limit,
+                       BufferMeter* meter)
+    : m_impl(std::make_unique<Impl>(loop,
+                                    std::move(handlers),
+                                    body_limit,
+                                    meter)) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -9,6 +9,7 @@
 
 #include <cstring>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -50,12 +51,17 @@
 
 class PeerTransport::Impl {
  public:
-  Impl(EventLoop& loop, PeerHandlers handlers, core::Duration max_inbound_idle)
+  Impl(EventLoop& loop,
+       PeerHandlers handlers,
+       core::Duration max_inbound_idle,
+       BufferMeter* meter)
       : m_loop(loop),
         m_handlers(std::move(handlers)),
+        m_meter(meter),
         m_inbound_read_timeout(impl::ToTimeval(max_inbound_idle)),
         m_free_retired(loop, [this] { m_retired.clear(); }),
-        m_liveness_timer(loop, [this] { ReviewLiveness(); }) {}
+        m_liveness_timer(loop, [this] { ReviewLiveness(); }),
+        m_discard_timer(loop, [this] { CloseDiscarded(); }) {}
 
   ~Impl() {
     if (m_listener != nullptr) {
@@ -119,6 +125,10 @@
   struct Connection {
     ~Connection() {
       if (m_stream != nullptr) {
+        if (m_arriving) {
+          evbuffer_remove_cb(bufferevent_get_input(m_stream), &OnInput, this);
+          evbuffer_remove_cb(bufferevent_get_output(m_stream), &OnOutput, this);
+        }
         bufferevent_free(m_stream);
       }
     }
@@ -134,6 +144,12 @@
     core::ConnectionLiveness m_liveness;
     /// Used for connections opened by a peer: probed since the last receipt.
     bool m_is_probed = false;
+    /// The frame that is arriving.
+    std::optional<BufferCharge> m_arriving;
+    /// The frames that wait to be written.
+    std::optional<BufferCharge> m_unsent;
+    /// To be closed because too much is buffered.
+    bool m_is_discarded = false;
   };
   using Key = std::pair<std::string, std::uint16_t>;
 
@@ -178,6 +194,46 @@
     bufferevent_setcb(connection.m_stream, &OnReadable, nullptr, &OnEvent,
                       &connection);
     bufferevent_enable(connection.m_stream, EV_READ | EV_WRITE);
+    if (m_meter == nullptr) {
+      return;
+    }
+    connection.m_unsent.emplace(*m_meter);
+    connection.m_arriving.emplace(*m_meter, [this, &connection] {
+      connection.m_is_discarded = true;
+      m_discard_timer.Set(core::Duration::zero());
+    });
+    evbuffer_add_cb(bufferevent_get_input(connection.m_stream), &OnInput,
+                    &connection);
+    evbuffer_add_cb(bufferevent_get_output(connection.m_stream), &OnOutput,
+                    &connection);
+  }
+
+  static void OnInput(evbuffer* input, const evbuffer_cb_info*, void* arg) {
+    static_cast<Connection*>(arg)->m_arriving->Set(evbuffer_get_length(input));
+  }
+
+  static void OnOutput(evbuffer* output, const evbuffer_cb_info*, void* arg) {
+    static_cast<Connection*>(arg)->m_unsent->Set(evbuffer_get_length(output));
+  }
+
+  // A frame cannot be dropped without the connection that it arrives on.
+  void CloseDiscarded() {
+    std::vector<Connection*> discarded;
+    const auto add = [&](const auto& connections) {
+      for (const auto& [key, connection] : connections) {
+        if (connection->m_is_discarded) {
+          discarded.push_back(connection.get());
+        }
+      }
+    };
+    add(m_outbound);
+    add(m_inbound);
+    for (Connection* connection : discarded) {
+      LOG4CPLUS_WARN(MemberLogger(),
+                     "connection to a peer closed: its frame is too large for "
+                     "the buffers that are left");
+      Close(*connection);
+    }
   }
 
   static void OnAccept(evconnlistener*,
@@ -404,6 +460,7 @@
 
   EventLoop& m_loop;
   PeerHandlers m_handlers;
+  BufferMeter* m_meter;
   timeval m_inbound_read_timeout;
   std::string m_host;
   evconnlistener* m_listener = nullptr;
@@ -414,15 +471,18 @@
   std::vector<std::unique_ptr<Connection>> m_retired;
   Timer m_free_retired;
   Timer m_liveness_timer;
+  Timer m_discard_timer;
   bool m_is_reviewing_liveness = false;
 };
 
 PeerTransport::PeerTransport(EventLoop& loop,
                              PeerHandlers handlers,
-                             core::Duration max_inbound_idle)
-    : m_impl(
-          std::make_unique<Impl>(loop, std::move(handlers), max_inbound_idle)) {
-}
+                             core::Duration max_inbound_idle,
+                             BufferMeter* meter)
+    : m_impl(std::make_unique<Impl>(loop,
+                                    std::move(handlers),
+                                    max_inbound_idle,
+                                    meter)) {}
 
 PeerTransport::~PeerTransport() = default;
 
--- a/runtime/src/program.cc
+++ b/runtime/src/program.cc
@@ -1,8 +1,24 @@
 #include "figlug/runtime/program.h"
 
 #include <log4cplus/loggingmacros.h>
+#include <malloc.h>
 
 namespace figlug::runtime {
+namespace {
+
+/// Blocks from this size on are returned to the system when they are freed.
+constexpr int kLargeBlockBytes = 128 << 10;
+
+}  // namespace
+
+// By default glibc raises this threshold to the size of each large block that
+// is freed, so that bodies of several MiB end up fragmenting the heap.
+void LimitFragmentation() {
+  if (mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes) == 0) {
+    LOG4CPLUS_WARN(ProcessLogger(),
+                   "cannot set the size from which memory is mapped");
+  }
+}
 
 void ApplyReload(const tl::expected<std::string, std::string>& level) {
   if (!level) {
