Write a checkpoint in each period, also while the log is quiet

Cause: the notice of the newest checkpoint expired, and WriteCheckpoint did not replace it while no record had followed. A process that starts finds the log beginning after its checkpoint, and only a member that has caught up can write another.

Change: no exception for a quiet log; the setting for it is gone.

Result: the test got no checkpoint in the first period before the change, one in each of three after it.

--- a/core/include/figlug/core/node_settings.h
+++ b/core/include/figlug/core/node_settings.h
@@ -23,8 +23,6 @@
   Duration m_checkpoint_period = std::chrono::minutes(10);
   /// Number of records after which a checkpoint is due, at least 1.
   std::uint32_t m_checkpoint_records = 512;
-  /// Whether the log service deletes checkpoints along with its oldest records.
-  bool m_checkpoint_expires = true;
   /// Max duration of a graceful stop.
   Duration m_stop_limit = std::chrono::seconds(20);
   /// Min duration of a graceful stop: callers need time to switch to other
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -692,10 +692,8 @@
   if (FindSelf() == nullptr || !m_log_healthy) {
     return;
   }
-  const bool is_current = m_state.next() <= m_checkpointed + 1;
-  if (!m_settings.m_checkpoint_expires && is_current) {
-    return;
-  }
+  // A checkpoint that nothing has followed is written again, too: it can be used
+  // only as long as the log holds the records after it.
   Time due = m_checkpointed_at + m_settings.m_checkpoint_period;
   const bool is_log_long =
       m_state.next() >= m_checkpointed + m_settings.m_checkpoint_records;
--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -245,7 +245,6 @@
     settings.m_min_stop_time = std::chrono::milliseconds(2700);
     settings.m_stop_admission_time = std::chrono::seconds(3);
     settings.m_stop_limit = std::chrono::seconds(6);
-    settings.m_checkpoint_expires = false;
     return settings;
   }
   [[nodiscard]] std::function<void(Action&&)> Sink() {
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -855,4 +855,28 @@
   LONGS_EQUAL(1, SliceOfNumber(256, 256));
 }
 
+// Guards against processes that can never start again: while nothing changed,
+// the notice of the checkpoint expired, and the log no longer led to it.
+TEST(RoutedNode, AQuietLogGetsACheckpointInEachPeriod) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  const Duration period = NodeSettings().m_checkpoint_period;
+  for (int round = 0; round < 3; ++round) {
+    self.ClearActions();
+    // The target reports, so that nothing else changes.
+    for (Duration passed{}; passed < period + std::chrono::seconds(5);
+         passed += std::chrono::seconds(1)) {
+      self.Report();
+      self.Advance(std::chrono::seconds(1));
+    }
+    const auto appends = self.ActionsOf<AppendRecord>();
+    LONGS_EQUAL(
+        1, std::ranges::count_if(appends, [](const auto& append) {
+          return std::holds_alternative<CheckpointRecord>(append.m_record);
+        }));
+  }
+}
+
 }  // namespace figlug::core
