Write responses until the end of a stop's time

Cause: a stop was done when no call was open; a call ends when its answer is handed to the HTTP server. The wait for unwritten bytes was 100 ms whatever time was left.

Change: ReadyToStop says until when to write: the stop's limit and 100 ms. Idle connections are closed at once.

--- a/core/include/figlug/core/action.h
+++ b/core/include/figlug/core/action.h
@@ -152,7 +152,10 @@
 
 /// \brief This process may stop: it has released everything, or its stop limit
 /// has passed.
-struct ReadyToStop {};
+struct ReadyToStop {
+  /// End of the wait for responses to be written.
+  Time m_write_until{};
+};
 
 using Action = std::variant<SendDatagram,
                             SendPeerMessage,
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -10,6 +10,9 @@
 
 constexpr std::size_t kMaxRecentEntries = 512;
 constexpr std::uint32_t kWarmUpSteps = 3;
+/// Left after the limit of a stop for its last responses to be written: less
+/// than half of the time that the platform's settings leave for the exit.
+constexpr Duration kLastWriteTime = std::chrono::milliseconds(100);
 constexpr Duration kReviewInterval = std::chrono::milliseconds(50);
 constexpr Duration kReleaseQueryInterval = std::chrono::milliseconds(100);
 /// Used where targets hold keys. A target releases keys with its next report,
@@ -692,8 +695,8 @@
   if (FindSelf() == nullptr || !m_log_healthy) {
     return;
   }
-  // A checkpoint that nothing has followed is written again, too: it can be used
-  // only as long as the log holds the records after it.
+  // A checkpoint that nothing has followed is written again, too: it can be
+  // used only as long as the log holds the records after it.
   Time due = m_checkpointed_at + m_settings.m_checkpoint_period;
   const bool is_log_long =
       m_state.next() >= m_checkpointed + m_settings.m_checkpoint_records;
@@ -739,7 +742,9 @@
   if (is_done || is_out_of_time) {
     m_stop_reported = true;
     m_stop_times.m_no_calls_from = now.m_time;
-    m_actions.emplace_back(ReadyToStop{});
+    const Time end = *m_stopping_since + m_settings.m_stop_limit;
+    m_actions.emplace_back(
+        ReadyToStop{std::max(now.m_time, end) + kLastWriteTime});
   }
 }
 
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -458,6 +458,25 @@
   }
 }
 
+// Guards against answers that are cut while their callers read them: a process
+// that has answered all calls ended long before the end of its grace.
+TEST(RoutedNode, AStopLeavesTheRestOfItsTimeForWriting) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  const Time stopped = self.At().m_time;
+  self.node().OnStop(self.At(), [](Action&&) {});
+  self.Record(LeaveRecord{self.node().self().m_id});
+  while (self.ActionsOf<ReadyToStop>().empty() &&
+         self.At().m_time < stopped + milliseconds(2900)) {
+    self.Advance(milliseconds(10));
+  }
+  const auto ready = self.ActionsOf<ReadyToStop>();
+  CHECK(ready.size() == 1);
+  CHECK(ready[0].m_write_until >= stopped + std::chrono::seconds(6));
+}
+
 // Guards against attempts that a stopping process sends so late that it must
 // cut them.
 TEST(RoutedNode, AStoppingProcessSendsNoAttemptsLate) {
--- a/runtime/include/figlug/runtime/http_server.h
+++ b/runtime/include/figlug/runtime/http_server.h
@@ -65,8 +65,8 @@
   void CloseAfterResponses();
   /// \brief Sends the response; ignored if the client has disconnected.
   void Respond(ExchangeId id, const wire::HttpResponse& response);
-  /// \brief Accepts no connections and reads no more requests; responses are
-  /// still written.
+  /// \brief Accepts no connections, closes idle ones and reads no more
+  /// requests; responses are still written.
   void StopReading();
   /// \brief Bytes of responses that wait to be written.
   [[nodiscard]] std::size_t unsent_bytes() const;
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -27,9 +27,6 @@
 inline constexpr std::size_t kHoldConnections = 4;
 inline constexpr std::size_t kMaxHoldAnswerBytes = 16U << 10;
 inline constexpr std::string_view kAdminPrefix = "/figlug/";
-/// Longest wait at the end of a stop for responses to be written: less than
-/// half of the time that the platform's settings leave for the exit.
-inline constexpr core::Duration kMaxWriteTime = std::chrono::milliseconds(100);
 inline constexpr core::Duration kWriteCheckInterval =
     std::chrono::milliseconds(2);
 
@@ -863,9 +860,9 @@
 }
 
 template <LogService Log, Dialect DialectType>
-void Daemon<Log, DialectType>::Perform(core::ReadyToStop&&) {
+void Daemon<Log, DialectType>::Perform(core::ReadyToStop&& action) {
   m_front.StopReading();
-  m_write_until = ReadClocks().m_time + impl::kMaxWriteTime;
+  m_write_until = action.m_write_until;
   // Other responses of the same event may follow this action.
   m_write_check.Set(core::Duration::zero());
 }
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <log4cplus/loggingmacros.h>
 
@@ -138,8 +139,17 @@
   void StopReading() {
     StopListening();
     m_is_reading_stopped = true;
+    std::vector<evhtp_connection_t*> idle;
     for (const auto& [handle, connection] : m_connections) {
       bufferevent_disable(handle->bev, EV_READ);
+      if (!connection.m_exchange &&
+          evbuffer_get_length(bufferevent_get_output(handle->bev)) == 0) {
+        idle.push_back(handle);
+      }
+    }
+    // Their clients need not wait until other responses are written.
+    for (evhtp_connection_t* handle : idle) {
+      evhtp_connection_free(handle);
     }
   }
 
