--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -183,7 +183,7 @@
     std::optional<BufferCharge> m_arriving;
     /// The responses that wait to be written.
     std::optional<BufferCharge> m_unsent;
-    /// Nothing more is read from the connection.
+    /// What still arrives on the connection is dropped.
     bool m_closes_once_written = false;
   };
 
