--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -140,6 +140,7 @@
   void OnPeerClosed(PeerConnectionId peer);
   void OnTargetDone(core::WorkId id, HttpClient::Result&& result);
   void OnHoldCallDone(core::HoldCallId id, HttpClient::Result&& result);
+  void OnUncleanResponse(const HttpCallTrace& trace);
   void OnAttempt(Work&& work);
   void EndAttempt(core::AttemptId attempt,
                   core::Outcome outcome,
--- a/runtime/include/figlug/runtime/dialect.h
+++ b/runtime/include/figlug/runtime/dialect.h
@@ -27,6 +27,9 @@
 /// - MakeResponseCheck returns a predicate that decides whether a response on a
 ///   connection belongs to the request.
 /// - RequestIdOf returns the id of a request for logs and traces.
+/// - EchoedIdOf returns the id of the request that a target's response names,
+/// or
+///   nothing.
 template <class T>
 concept Dialect = requires(const T dialect,
                            const core::Node& node,
@@ -56,6 +59,7 @@
     dialect.MakeResponseCheck(request)
     } -> std::convertible_to<HttpClient::ResponseCheck>;
   { dialect.RequestIdOf(request) } -> std::convertible_to<std::string_view>;
+  { dialect.EchoedIdOf(response) } -> std::convertible_to<std::string_view>;
   { T::kServesAdminPages } -> std::convertible_to<bool>;
   { T::kAlwaysTraces } -> std::convertible_to<bool>;
   { T::kProbesTarget } -> std::convertible_to<bool>;
--- a/runtime/include/figlug/runtime/figlug_dialect.h
+++ b/runtime/include/figlug/runtime/figlug_dialect.h
@@ -38,6 +38,8 @@
       const core::DispatchWork& work) const;
   [[nodiscard]] std::string_view RequestIdOf(
       const wire::HttpRequest& request) const;
+  [[nodiscard]] std::string_view EchoedIdOf(
+      const wire::HttpResponse& response) const;
   /// \brief Rejects a response that names another request. Targets need not
   /// name the request; a response without a name is accepted.
   [[nodiscard]] HttpClient::ResponseCheck MakeResponseCheck(
--- a/runtime/include/figlug/runtime/http_client.h
+++ b/runtime/include/figlug/runtime/http_client.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -34,6 +36,25 @@
   kMismatchedResponse,
 };
 
+/// \brief Name of an error, as used in logs.
+[[nodiscard]] std::string_view ToString(HttpClientError error) noexcept;
+
+/// \brief A request that did not end with a clean response, and the connection
+/// that it was sent on.
+struct HttpCallTrace {
+  HttpCallId m_call{0};
+  /// Number of the connection among those of its client, from 1.
+  std::uint64_t m_connection = 0;
+  /// Number of the request among those of its connection, from 1.
+  std::uint64_t m_exchange = 0;
+  /// Unset if the response was accepted, but bytes followed it.
+  std::optional<HttpClientError> m_error;
+  /// Bytes that followed the response.
+  std::size_t m_left_over = 0;
+  /// The response that was rejected or accepted, or null.
+  const wire::HttpResponse* m_response = nullptr;
+};
+
 /// \brief A pool of HTTP/1.1 connections to one address, based on evhttp.
 ///
 /// \code
@@ -70,6 +91,9 @@
                   core::Duration timeout,
                   Callback callback,
                   ResponseCheck check = {});
+  /// \brief Sets what is called before the callback of a request that did not
+  /// end with a clean response.
+  void SetTraceHandler(std::function<void(const HttpCallTrace&)> handler);
   /// \brief Sets what is called when the server has closed an idle connection
   /// and no other one is left.
   void SetDisconnectedHandler(std::function<void()> handler);
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -184,6 +184,8 @@
                 });
               }),
       m_write_check(loop, [this] { StopOnceWritten(); }) {
+  m_target.SetTraceHandler(
+      [this](const HttpCallTrace& trace) { OnUncleanResponse(trace); });
   m_grant_client.SetDisconnectedHandler(
       [this] { m_node.OnTargetDisconnected(); });
 }
@@ -560,6 +562,30 @@
   });
 }
 
+// The connection and its use tell a late response to an earlier request from
+// one that was mixed up on the way.
+template <LogService Log, Dialect DialectType>
+void Daemon<Log, DialectType>::OnUncleanResponse(const HttpCallTrace& trace) {
+  const auto it = std::ranges::find_if(m_work, [&](const auto& entry) {
+    return entry.second.m_target_call == trace.m_call;
+  });
+  const wire::HttpResponse* response = trace.m_response;
+  m_decisions.Write(
+      ReadClocks().m_time, "unclean-response",
+      {{"request", it == m_work.end()
+                       ? std::string_view()
+                       : m_dialect.RequestIdOf(*it->second.m_request)},
+       {"problem", trace.m_error ? ToString(*trace.m_error)
+                                 : std::string_view("left-over")},
+       {"connection", trace.m_connection},
+       {"exchange", trace.m_exchange},
+       {"status", response == nullptr ? 0 : response->m_status},
+       {"echoed", response == nullptr ? std::string_view()
+                                      : m_dialect.EchoedIdOf(*response)},
+       {"body_bytes", response == nullptr ? 0 : response->m_body.size()},
+       {"left_bytes", trace.m_left_over}});
+}
+
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::OnTargetDone(core::WorkId id,
                                             HttpClient::Result&& result) {
--- a/runtime/src/figlug_dialect.cc
+++ b/runtime/src/figlug_dialect.cc
@@ -148,6 +148,12 @@
   return trace == nullptr ? std::string_view() : std::string_view(*trace);
 }
 
+std::string_view FiglugDialect::EchoedIdOf(
+    const wire::HttpResponse& response) const {
+  const auto* id = wire::FindHeader(response.m_headers, kRequestIdHeader);
+  return id == nullptr ? std::string_view() : std::string_view(*id);
+}
+
 HttpClient::ResponseCheck FiglugDialect::MakeResponseCheck(
     const wire::HttpRequest& request) const {
   const auto* id = wire::FindHeader(request.m_headers, kRequestIdHeader);
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -98,6 +98,24 @@
 
 }  // namespace
 
+std::string_view ToString(HttpClientError error) noexcept {
+  switch (error) {
+    case HttpClientError::kNotSent:
+      return "not-sent";
+    case HttpClientError::kUnsupportedMethod:
+      return "unsupported-method";
+    case HttpClientError::kConnectionLost:
+      return "connection-lost";
+    case HttpClientError::kTimeout:
+      return "timeout";
+    case HttpClientError::kTooLarge:
+      return "too-large";
+    case HttpClientError::kMismatchedResponse:
+      return "mismatched-response";
+  }
+  return "unknown";
+}
+
 class HttpClient::Impl {
  public:
   Impl(EventLoop& loop,
@@ -168,6 +186,10 @@
 
   std::size_t connections() const noexcept { return m_open; }
 
+  void SetTraceHandler(std::function<void(const HttpCallTrace&)> handler) {
+    m_on_trace = std::move(handler);
+  }
+
   void SetDisconnectedHandler(std::function<void()> handler) {
     m_on_disconnected = std::move(handler);
   }
@@ -194,6 +216,12 @@
     bool m_is_discarded = false;
   };
 
+  /// A connection's place among those of its client, and its use.
+  struct ConnectionUse {
+    std::uint64_t m_number = 0;
+    std::uint64_t m_exchanges = 0;
+  };
+
   struct IdleConnection {
     evhttp_connection* m_connection = nullptr;
     /// From this time on, the server may close the connection.
@@ -239,6 +267,7 @@
         m_loop.base(), nullptr, m_to.m_host.c_str(), m_to.m_port);
     evhttp_connection_set_max_headers_size(
         connection, static_cast<ev_ssize_t>(kMaxHeadBytes));
+    m_uses[connection].m_number = ++m_last_connection;
     evbuffer_add_cb(InputOf(connection), &OnInput, this);
     evbuffer_add_cb(OutputOf(connection), &OnOutput, this);
     evhttp_connection_set_max_body_size(connection,
@@ -315,6 +344,7 @@
       if (it == m_calls.end()) {
         continue;
       }
+      Trace(it->second, HttpClientError::kTooLarge, 0, nullptr);
       const Callback callback = std::move(it->second.m_callback);
       Abandon(it->second);
       callback(tl::unexpected(HttpClientError::kTooLarge));
@@ -328,6 +358,7 @@
     if (call.m_connection != nullptr) {
       --m_open;
       Unassign(call.m_connection);
+      m_uses.erase(call.m_connection);
       evhttp_connection_free(call.m_connection);
     }
     m_calls.erase(call.m_id);
@@ -342,6 +373,7 @@
     call.m_connection = AcquireConnection();
     m_inputs[InputOf(call.m_connection)] = call.m_id;
     m_outputs[OutputOf(call.m_connection)] = call.m_id;
+    ++m_uses[call.m_connection].m_exchanges;
     call.m_started = ReadClocks().m_time;
     const auto remaining = std::max((call.m_deadline - call.m_started).count(),
                                     kMinTimeout.count());
@@ -388,7 +420,16 @@
         request != nullptr && evhttp_request_get_response_code(request) != 0;
     if (has_response) {
       wire::HttpResponse response = ReadResponse(request);
-      if (call->m_check && !call->m_check(response)) {
+      const bool is_own = !call->m_check || call->m_check(response);
+      const std::size_t left_over =
+          evbuffer_get_length(InputOf(call->m_connection));
+      if (!is_own) {
+        impl->Trace(*call, HttpClientError::kMismatchedResponse, left_over,
+                    &response);
+      } else if (left_over > 0) {
+        impl->Trace(*call, std::nullopt, left_over, &response);
+      }
+      if (!is_own) {
         impl->Retire(call->m_connection);
         impl->Finish(call->m_id,
                      tl::unexpected(HttpClientError::kMismatchedResponse));
@@ -400,6 +441,7 @@
     }
     const HttpClientError error = call->m_error ? ToClientError(*call->m_error)
                                                 : HttpClientError::kNotSent;
+    impl->Trace(*call, error, 0, nullptr);
     if (error == HttpClientError::kTimeout) {
       impl->RetireUnusedSince(call->m_started);
     }
@@ -407,6 +449,17 @@
     impl->Finish(call->m_id, tl::unexpected(error));
   }
 
+  void Trace(const Call& call,
+             std::optional<HttpClientError> error,
+             std::size_t left_over,
+             const wire::HttpResponse* response) {
+    if (m_on_trace) {
+      const ConnectionUse& use = m_uses[call.m_connection];
+      m_on_trace({call.m_id, use.m_number, use.m_exchanges, error, left_over,
+                  response});
+    }
+  }
+
   // evhttp has closed the connection already if the response says so.
   void KeepIdle(evhttp_connection* connection,
                 const wire::HttpResponse& response) {
@@ -442,6 +495,7 @@
   void Retire(evhttp_connection* connection) {
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
     --m_open;
+    m_uses.erase(connection);
     m_retired.push_back(connection);
     m_free_retired.Set(core::Duration::zero());
   }
@@ -488,6 +542,9 @@
   core::Duration m_max_idle_time;
   BufferMeter* m_meter;
   std::function<void()> m_on_disconnected;
+  std::function<void(const HttpCallTrace&)> m_on_trace;
+  std::uint64_t m_last_connection = 0;
+  std::unordered_map<evhttp_connection*, ConnectionUse> m_uses;
   std::size_t m_open = 0;
   bool m_is_closing = false;
   bool m_has_oversized = false;
@@ -525,6 +582,11 @@
   return m_impl->Send(request, timeout, std::move(callback), std::move(check));
 }
 
+void HttpClient::SetTraceHandler(
+    std::function<void(const HttpCallTrace&)> handler) {
+  m_impl->SetTraceHandler(std::move(handler));
+}
+
 void HttpClient::SetDisconnectedHandler(std::function<void()> handler) {
   m_impl->SetDisconnectedHandler(std::move(handler));
 }
