Read the responses of targets strictly, on connections that are clean

Callers saw a success where the target had answered with another status: of 65736 sixteen bits were kept, which are 200, and 0200, +200 and 200abc were 200 as well; a 200 cut off in its head was completed by the fields of the next answer, a 500, its id and seal included. They also saw empty successes for answers without a length that said Connection: keep-alive, bodies of ambiguous length, interim statuses as final ones, and bytes after an answer to HEAD.

Cause: heads and framing were taken as libevent's client reads them, which is lenient, and a connection went back to the pool with bytes left in its buffer.

A connection is used again only after a response with a length that nothing followed, to a request written in full, and if nothing has arrived since.

--- a/runtime/include/figlug/runtime/dialect.h
+++ b/runtime/include/figlug/runtime/dialect.h
@@ -24,8 +24,8 @@
 /// - RequestHeaders and ResponseHeaders return the headers to forward.
 /// - MakeTargetRequest adds the router's own headers.
 /// - ClassifyResponse derives a call's outcome from the target's response.
-/// - MakeResponseCheck returns a predicate that decides whether a response on a
-///   connection belongs to the request.
+/// - MakeResponseTie returns how the responses on a connection are tied to the
+///   request.
 /// - RequestIdOf returns the id of a request for logs and traces.
 /// - EchoedIdOf returns the id of the request that a target's response names,
 /// or
@@ -55,9 +55,7 @@
   {
     dialect.ClassifyResponse(request, response)
     } -> std::same_as<core::TargetResult>;
-  {
-    dialect.MakeResponseCheck(request)
-    } -> std::convertible_to<HttpClient::ResponseCheck>;
+  { dialect.MakeResponseTie(request) } -> std::same_as<ResponseTie>;
   { dialect.RequestIdOf(request) } -> std::convertible_to<std::string_view>;
   { dialect.EchoedIdOf(response) } -> std::convertible_to<std::string_view>;
   { T::kServesAdminPages } -> std::convertible_to<bool>;
@@ -68,7 +66,7 @@
 /// \brief A dialect whose targets are called for the keys that they hold.
 ///
 /// - MakeGrantRequest and MakeReleaseRequest build the calls.
-/// - MakeHoldCheck is MakeResponseCheck for these calls.
+/// - MakeHoldTie is MakeResponseTie for these calls.
 /// - ParseHoldAnswer derives what the response to either says.
 template <class T>
 concept HoldDialect = requires(const T dialect,
@@ -78,9 +76,7 @@
                                const wire::HttpResponse& response) {
   { dialect.MakeGrantRequest(grant) } -> std::same_as<wire::HttpRequest>;
   { dialect.MakeReleaseRequest(release) } -> std::same_as<wire::HttpRequest>;
-  {
-    dialect.MakeHoldCheck(request)
-    } -> std::convertible_to<HttpClient::ResponseCheck>;
+  { dialect.MakeHoldTie(request) } -> std::same_as<ResponseTie>;
   { dialect.ParseHoldAnswer(response) } -> std::same_as<core::HoldAnswer>;
 };
 
--- a/runtime/include/figlug/runtime/figlug_dialect.h
+++ b/runtime/include/figlug/runtime/figlug_dialect.h
@@ -42,7 +42,7 @@
       const wire::HttpResponse& response) const;
   /// \brief Rejects a response that names another request. Targets need not
   /// name the request; a response without a name is accepted.
-  [[nodiscard]] HttpClient::ResponseCheck MakeResponseCheck(
+  [[nodiscard]] ResponseTie MakeResponseTie(
       const wire::HttpRequest& request) const;
   [[nodiscard]] core::TargetResult ClassifyResponse(
       const wire::HttpRequest& request,
--- a/runtime/include/figlug/runtime/http_client.h
+++ b/runtime/include/figlug/runtime/http_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include <tl/expected.hpp>
@@ -23,8 +24,8 @@
 enum class HttpClientError : std::uint8_t {
   /// The connection could not be established; no byte was sent.
   kNotSent,
-  /// evhttp does not support the request's method.
-  kUnsupportedMethod,
+  /// The request cannot be written as HTTP/1.1; no byte was sent.
+  kInvalidRequest,
   /// The connection was lost after sending; the server may have handled the
   /// request.
   kConnectionLost,
@@ -32,30 +33,72 @@
   /// The response exceeds the limit, or all connections together buffer too
   /// much.
   kTooLarge,
-  /// The response belongs to another request.
+  /// The response does not name the request that it answers.
   kMismatchedResponse,
+  /// The bytes received are not an HTTP/1.1 response.
+  kMalformedResponse,
 };
 
-/// \brief Name of an error, as used in logs.
+/// \brief Whether a response on a connection answers the request that was sent
+/// on it.
+enum class ResponseMatch : std::uint8_t {
+  kOwn,
+  /// It answers an earlier request; the own response is still to come.
+  kForeign,
+  /// It does not say what it answers.
+  kUnnamed,
+};
+
+/// \brief How the responses of a server that may answer twice are tied to the
+/// requests.
+struct ResponseTie {
+  using Check = std::function<ResponseMatch(const wire::HttpResponse&)>;
+
+  /// Id by which responses name the request. A connection carries each id once,
+  /// and a request without an id has a connection of its own.
+  std::string m_id;
+  /// Null: the server's responses are taken as they come.
+  Check m_check;
+};
+
+/// \brief What a connection carried besides clean responses.
+enum class UncleanKind : std::uint8_t {
+  /// The request got no response, see m_error.
+  kFailed,
+  /// A response to an earlier request was passed over.
+  kForeignResponse,
+  /// Bytes followed a response that was accepted.
+  kLeftOver,
+  /// Bytes arrived while no request was open.
+  kUnasked,
+};
+
+/// \brief Names, as used in logs.
 [[nodiscard]] std::string_view ToString(HttpClientError error) noexcept;
+[[nodiscard]] std::string_view ToString(UncleanKind kind) noexcept;
 
-/// \brief A request that did not end with a clean response, and the connection
-/// that it was sent on.
+/// \brief An event on a connection that a request was, or may have been, sent
+/// on.
 struct HttpCallTrace {
+  UncleanKind m_kind = UncleanKind::kFailed;
+  /// Zero without a request.
   HttpCallId m_call{0};
   /// Number of the connection among those of its client, from 1.
   std::uint64_t m_connection = 0;
   /// Number of the request among those of its connection, from 1.
   std::uint64_t m_exchange = 0;
-  /// Unset if the response was accepted, but bytes followed it.
+  /// Set for kFailed.
   std::optional<HttpClientError> m_error;
   /// Bytes that followed the response.
   std::size_t m_left_over = 0;
-  /// The response that was rejected or accepted, or null.
+  /// The response that was accepted, rejected or passed over, or null.
   const wire::HttpResponse* m_response = nullptr;
 };
 
-/// \brief A pool of HTTP/1.1 connections to one address, based on evhttp.
+/// \brief A pool of HTTP/1.1 connections to one address.
+///
+/// A connection is used again only if nothing but the response has arrived on
+/// it, and the request was written in full.
 ///
 /// \code
 /// client.Send(request, timeout, [](auto result) { ... });
@@ -64,9 +107,6 @@
  public:
   using Result = tl::expected<wire::HttpResponse, HttpClientError>;
   using Callback = std::function<void(Result&&)>;
-  /// Returns whether a response belongs to the request; if not, the connection
-  /// is closed.
-  using ResponseCheck = std::function<bool(const wire::HttpResponse&)>;
 
   /// \param max_connections Maximum number of connections; further requests are
   /// queued.
@@ -90,9 +130,9 @@
   HttpCallId Send(const wire::HttpRequest& request,
                   core::Duration timeout,
                   Callback callback,
-                  ResponseCheck check = {});
-  /// \brief Sets what is called before the callback of a request that did not
-  /// end with a clean response.
+                  ResponseTie tie = {});
+  /// \brief Sets what is called for each event on a connection besides clean
+  /// responses, before the callback of its request.
   void SetTraceHandler(std::function<void(const HttpCallTrace&)> handler);
   /// \brief Sets what is called when the server has closed an idle connection
   /// and no other one is left.
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -76,11 +76,12 @@
 inline core::TargetResult ClassifyError(HttpClientError error) {
   switch (error) {
     case HttpClientError::kNotSent:
-    case HttpClientError::kUnsupportedMethod:
+    case HttpClientError::kInvalidRequest:
       return {core::Outcome::kNotRun, core::Reason::kTargetUnreachable};
     case HttpClientError::kTimeout:
       return {core::Outcome::kUnknown, core::Reason::kDeadline};
     case HttpClientError::kMismatchedResponse:
+    case HttpClientError::kMalformedResponse:
     case HttpClientError::kConnectionLost:
     case HttpClientError::kTooLarge:
       break;
@@ -698,7 +699,7 @@
       [this, id](HttpClient::Result&& result) {
         OnTargetDone(id, std::move(result));
       },
-      m_dialect.MakeResponseCheck(request));
+      m_dialect.MakeResponseTie(request));
   if (const auto current = m_work.find(id); current != m_work.end()) {
     current->second.m_target_call = call;
   }
@@ -748,7 +749,7 @@
         [this, id](HttpClient::Result&& result) {
           OnHoldCallDone(id, std::move(result));
         },
-        m_dialect.MakeHoldCheck(request));
+        m_dialect.MakeHoldTie(request));
   }
 }
 
--- a/runtime/src/figlug_dialect.cc
+++ b/runtime/src/figlug_dialect.cc
@@ -154,16 +154,22 @@
   return id == nullptr ? std::string_view() : std::string_view(*id);
 }
 
-HttpClient::ResponseCheck FiglugDialect::MakeResponseCheck(
+// Targets need not name the request.
+ResponseTie FiglugDialect::MakeResponseTie(
     const wire::HttpRequest& request) const {
   const auto* id = wire::FindHeader(request.m_headers, kRequestIdHeader);
   if (id == nullptr) {
     return {};
   }
-  return [id = *id](const wire::HttpResponse& response) {
-    const auto* echoed = wire::FindHeader(response.m_headers, kRequestIdHeader);
-    return echoed == nullptr || *echoed == id;
-  };
+  return {*id, [id = *id](const wire::HttpResponse& response) {
+            const auto* echoed =
+                wire::FindHeader(response.m_headers, kRequestIdHeader);
+            if (wire::CountHeaders(response.m_headers, kRequestIdHeader) > 1) {
+              return ResponseMatch::kUnnamed;
+            }
+            return echoed == nullptr || *echoed == id ? ResponseMatch::kOwn
+                                                      : ResponseMatch::kForeign;
+          }};
 }
 
 core::TargetResult FiglugDialect::ClassifyResponse(
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -2,12 +2,14 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <event2/event.h>
 #include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
+#include <cerrno>
 #include <charconv>
 #include <deque>
 #include <optional>
@@ -16,10 +18,11 @@
 #include <utility>
 #include <vector>
 
+#include "figlug/wire/response_reader.h"
+
 namespace figlug::runtime {
 namespace {
 
-constexpr core::Duration::rep kMicrosPerSecond = 1'000'000;
 constexpr core::Duration kMinTimeout = std::chrono::milliseconds(1);
 constexpr std::size_t kMaxHeadBytes = 64U << 10;
 /// Used if the server sends no Keep-Alive timeout; well below the shortest
@@ -29,37 +32,53 @@
 /// is reused.
 constexpr double kIdleReuseRatio = 0.7;
 
-constexpr std::array<std::pair<std::string_view, evhttp_cmd_type>, 7> kMethods =
-    {{{"GET", EVHTTP_REQ_GET},
-      {"POST", EVHTTP_REQ_POST},
-      {"PUT", EVHTTP_REQ_PUT},
-      {"HEAD", EVHTTP_REQ_HEAD},
-      {"DELETE", EVHTTP_REQ_DELETE},
-      {"PATCH", EVHTTP_REQ_PATCH},
-      {"OPTIONS", EVHTTP_REQ_OPTIONS}}};
-
-std::optional<evhttp_cmd_type> FindMethod(std::string_view name) {
-  const auto* it = std::ranges::find(
-      kMethods, name, &std::pair<std::string_view, evhttp_cmd_type>::first);
-  if (it == kMethods.end()) {
-    return std::nullopt;
-  }
-  return it->second;
+constexpr std::string_view kWhiteSpaceAndControls = {" \t\r\n\0", 5};
+constexpr std::string_view kLineBreaks = {"\r\n\0", 3};
+
+bool IsWord(std::string_view text) {
+  return !text.empty() &&
+         text.find_first_of(kWhiteSpaceAndControls) == std::string_view::npos;
 }
 
-wire::HttpResponse ReadResponse(evhttp_request* request) {
-  wire::HttpResponse response;
-  response.m_status =
-      static_cast<std::uint16_t>(evhttp_request_get_response_code(request));
-  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    response.m_headers.push_back({header->key, header->value});
-  }
-  evbuffer* body = evhttp_request_get_input_buffer(request);
-  response.m_body.resize(evbuffer_get_length(body));
-  evbuffer_remove(body, response.m_body.data(), response.m_body.size());
-  return response;
+// A response to CONNECT is framed differently.
+bool IsValid(const wire::HttpRequest& request) {
+  return IsWord(request.m_method) && request.m_method != "CONNECT" &&
+         IsWord(request.m_path) &&
+         std::ranges::all_of(request.m_headers, [](const wire::Header& header) {
+           return IsWord(header.m_name) &&
+                  header.m_name.find(':') == std::string::npos &&
+                  header.m_value.find_first_of(kLineBreaks) ==
+                      std::string::npos;
+         });
+}
+
+// The headers that frame the body are written by the client alone.
+bool IsFraming(const wire::Header& header) {
+  const wire::Headers single = {{header.m_name, ""}};
+  return wire::FindHeader(single, "Content-Length") != nullptr ||
+         wire::FindHeader(single, "Transfer-Encoding") != nullptr;
+}
+
+std::string EncodeHead(const wire::HttpRequest& request,
+                       const core::Endpoint& to) {
+  std::string head = request.m_method + " " + request.m_path + " HTTP/1.1\r\n";
+  const auto add = [&](std::string_view name, std::string_view value) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  };
+  for (const wire::Header& header : request.m_headers) {
+    if (!IsFraming(header)) {
+      add(header.m_name, header.m_value);
+    }
+  }
+  if (wire::FindHeader(request.m_headers, "Host") == nullptr) {
+    add("Host", to.m_host + ":" + std::to_string(to.m_port));
+  }
+  const std::string& method = request.m_method;
+  if (!request.m_body.empty() || method == "POST" || method == "PUT" ||
+      method == "PATCH") {
+    add("Content-Length", std::to_string(request.m_body.size()));
+  }
+  return head + "\r\n";
 }
 
 // The server's Keep-Alive timeout is in whole seconds.
@@ -78,22 +97,16 @@
       kIdleReuseRatio * std::chrono::seconds(seconds));
 }
 
-bool IsLastOfConnection(const wire::HttpResponse& response) {
-  const std::string* connection =
-      wire::FindHeader(response.m_headers, "Connection");
-  return connection != nullptr &&
-         evutil_ascii_strcasecmp(connection->c_str(), "close") == 0;
-}
-
-HttpClientError ToClientError(evhttp_request_error error) {
+HttpClientError ToClientError(wire::ResponseError error) {
   switch (error) {
-    case EVREQ_HTTP_TIMEOUT:
-      return HttpClientError::kTimeout;
-    case EVREQ_HTTP_DATA_TOO_LONG:
+    case wire::ResponseError::kTooLarge:
       return HttpClientError::kTooLarge;
-    default:
+    case wire::ResponseError::kIncomplete:
       return HttpClientError::kConnectionLost;
+    case wire::ResponseError::kMalformed:
+      break;
   }
+  return HttpClientError::kMalformedResponse;
 }
 
 }  // namespace
@@ -102,8 +115,8 @@
   switch (error) {
     case HttpClientError::kNotSent:
       return "not-sent";
-    case HttpClientError::kUnsupportedMethod:
-      return "unsupported-method";
+    case HttpClientError::kInvalidRequest:
+      return "invalid-request";
     case HttpClientError::kConnectionLost:
       return "connection-lost";
     case HttpClientError::kTimeout:
@@ -112,6 +125,22 @@
       return "too-large";
     case HttpClientError::kMismatchedResponse:
       return "mismatched-response";
+    case HttpClientError::kMalformedResponse:
+      return "malformed-response";
+  }
+  return "unknown";
+}
+
+std::string_view ToString(UncleanKind kind) noexcept {
+  switch (kind) {
+    case UncleanKind::kFailed:
+      return "failed";
+    case UncleanKind::kForeignResponse:
+      return "foreign-response";
+    case UncleanKind::kLeftOver:
+      return "left-over";
+    case UncleanKind::kUnasked:
+      return "unasked";
   }
   return "unknown";
 }
@@ -127,45 +156,35 @@
       : m_loop(loop),
         m_to(std::move(to)),
         m_max_connections(max_connections),
-        m_body_limit(body_limit),
+        m_limits{kMaxHeadBytes, body_limit},
         m_max_idle_time(max_idle_time),
         m_meter(meter) {}
 
-  ~Impl() {
-    m_is_closing = true;
-    for (auto& [id, call] : m_calls) {
-      if (call.m_connection != nullptr) {
-        evhttp_connection_free(call.m_connection);
-      }
-    }
-    for (const IdleConnection& idle : m_idle_connections) {
-      evhttp_connection_set_closecb(idle.m_connection, nullptr, nullptr);
-      evhttp_connection_free(idle.m_connection);
-    }
-    FreeRetired();
-  }
-
   HttpCallId Send(const wire::HttpRequest& request,
                   core::Duration timeout,
                   Callback callback,
-                  ResponseCheck check) {
+                  ResponseTie tie) {
     CloseExpired();
     const HttpCallId id{++m_last_id};
     Call& call = m_calls[id];
-    call.m_impl = this;
     call.m_id = id;
     call.m_callback = std::move(callback);
-    call.m_check = std::move(check);
-    call.m_deadline = ReadClocks().m_time + std::max(timeout, kMinTimeout);
+    call.m_tie = std::move(tie);
+    call.m_is_head = request.m_method == "HEAD";
+    call.m_deadline.emplace(m_loop, [this, id] { OnDeadline(id); });
+    call.m_deadline->Set(std::max(timeout, kMinTimeout));
     if (m_meter != nullptr) {
       call.m_unsent.emplace(*m_meter);
       call.m_unsent->Set(request.m_body.size());
       call.m_arriving.emplace(*m_meter, [this, &call] {
         call.m_is_discarded = true;
-        FailOversizedSoon();
+        FailDiscardedSoon();
       });
     }
-    if (!m_idle_connections.empty() || m_open < m_max_connections) {
+    if (!IsValid(request)) {
+      call.m_is_invalid = true;
+      FailDiscardedSoon();
+    } else if (CanStart()) {
       Start(call, request);
     } else {
       call.m_pending_request = request;
@@ -179,12 +198,11 @@
     if (it == m_calls.end()) {
       return;
     }
-    std::erase(m_queue, id);
-    Abandon(it->second);
+    Remove(it->second);
     StartQueued();
   }
 
-  std::size_t connections() const noexcept { return m_open; }
+  std::size_t connections() const noexcept { return m_connections.size(); }
 
   void SetTraceHandler(std::function<void(const HttpCallTrace&)> handler) {
     m_on_trace = std::move(handler);
@@ -195,369 +213,361 @@
   }
 
  private:
-  struct Call {
+  struct Call;
+
+  struct Connection {
+    ~Connection() {
+      evbuffer_remove_cb(bufferevent_get_output(m_stream), &OnOutput, this);
+      bufferevent_free(m_stream);
+    }
     Impl* m_impl = nullptr;
+    bufferevent* m_stream = nullptr;
+    /// Place among the connections of the client, from 1.
+    std::uint64_t m_number = 0;
+    std::uint64_t m_exchanges = 0;
+    bool m_is_connected = false;
+    /// The call that uses the connection, or null.
+    Call* m_call = nullptr;
+    /// From this time on, the server may close the idle connection.
+    core::Time m_expiry{};
+    /// When the last response on it was complete.
+    core::Time m_last_used{};
+  };
+
+  struct Call {
     HttpCallId m_id{0};
     Callback m_callback;
-    ResponseCheck m_check;
-    evhttp_connection* m_connection = nullptr;
-    core::Time m_deadline{};
+    ResponseTie m_tie;
+    bool m_is_head = false;
+    Connection* m_connection = nullptr;
+    std::optional<Timer> m_deadline;
     /// When it was given a connection.
     core::Time m_started{};
-    std::optional<evhttp_request_error> m_error;
-    bool m_is_cancelled = false;
+    std::optional<wire::ResponseReader> m_reader;
     wire::HttpRequest m_pending_request;
     /// The request's body until it is written.
     std::optional<BufferCharge> m_unsent;
     /// The response while it arrives.
     std::optional<BufferCharge> m_arriving;
-    std::size_t m_received = 0;
     /// The response is given up because too much is buffered.
     bool m_is_discarded = false;
+    bool m_is_invalid = false;
   };
 
-  /// A connection's place among those of its client, and its use.
-  struct ConnectionUse {
-    std::uint64_t m_number = 0;
-    std::uint64_t m_exchanges = 0;
-  };
+  static evbuffer* InputOf(const Connection& connection) {
+    return bufferevent_get_input(connection.m_stream);
+  }
 
-  struct IdleConnection {
-    evhttp_connection* m_connection = nullptr;
-    /// From this time on, the server may close the connection.
-    core::Time m_expiry{};
-    /// When the last response on it was complete.
-    core::Time m_last_used{};
-  };
+  static evbuffer* OutputOf(const Connection& connection) {
+    return bufferevent_get_output(connection.m_stream);
+  }
 
   // If the server closes an idle connection just as a request is sent on it,
   // the client cannot know whether the request was read.
   void CloseExpired() {
     const core::Time now = ReadClocks().m_time;
-    std::erase_if(m_idle_connections, [&](const IdleConnection& idle) {
-      if (now < idle.m_expiry) {
-        return false;
-      }
-      Retire(idle.m_connection);
-      return true;
-    });
+    RetireIdleIf([&](const Connection& idle) { return now >= idle.m_expiry; });
   }
 
-  // The server's connections may all have fallen silent at once. Those that
-  // have carried a response since the call began work.
-  void RetireUnusedSince(core::Time start) {
-    std::erase_if(m_idle_connections, [&](const IdleConnection& idle) {
-      if (idle.m_last_used >= start) {
+  template <class Predicate>
+  void RetireIdleIf(Predicate&& predicate) {
+    std::erase_if(m_idle, [&](Connection* idle) {
+      if (!predicate(*idle)) {
         return false;
       }
-      Retire(idle.m_connection);
+      Retire(*idle);
       return true;
     });
   }
 
-  evhttp_connection* AcquireConnection() {
-    if (!m_idle_connections.empty()) {
-      evhttp_connection* connection = m_idle_connections.back().m_connection;
-      m_idle_connections.pop_back();
-      evhttp_connection_set_closecb(connection, nullptr, nullptr);
-      return connection;
-    }
-    ++m_open;
-    evhttp_connection* connection = evhttp_connection_base_new(
-        m_loop.base(), nullptr, m_to.m_host.c_str(), m_to.m_port);
-    evhttp_connection_set_max_headers_size(
-        connection, static_cast<ev_ssize_t>(kMaxHeadBytes));
-    m_uses[connection].m_number = ++m_last_connection;
-    evbuffer_add_cb(InputOf(connection), &OnInput, this);
-    evbuffer_add_cb(OutputOf(connection), &OnOutput, this);
-    evhttp_connection_set_max_body_size(connection,
-                                        static_cast<ev_ssize_t>(m_body_limit));
-    return connection;
-  }
-
-  static evbuffer* InputOf(evhttp_connection* connection) {
-    return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+  [[nodiscard]] bool CanStart() const noexcept {
+    return !m_idle.empty() || m_connections.size() < m_max_connections;
   }
 
-  static evbuffer* OutputOf(evhttp_connection* connection) {
-    return bufferevent_get_output(
-        evhttp_connection_get_bufferevent(connection));
+  // Bytes that have arrived before the request is sent do not answer it. Where
+  // the end of the last connection matters, a request has to meet it.
+  bool IsUsable(const Connection& idle) {
+    char byte = 0;
+    const ssize_t received = recv(bufferevent_getfd(idle.m_stream), &byte, 1,
+                                  MSG_PEEK | MSG_DONTWAIT);
+    const bool is_open =
+        received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    const std::size_t left_over = evbuffer_get_length(InputOf(idle));
+    if (received > 0 || left_over > 0) {
+      Trace(idle, {.m_kind = UncleanKind::kUnasked, .m_left_over = left_over});
+      return false;
+    }
+    return is_open || m_on_disconnected != nullptr;
   }
 
-  // The call that uses the connection of a buffer, or null.
-  Call* FindCall(const std::unordered_map<evbuffer*, HttpCallId>& buffers,
-                 evbuffer* buffer) {
-    const auto it = buffers.find(buffer);
-    const auto call =
-        it == buffers.end() ? m_calls.end() : m_calls.find(it->second);
-    return call == m_calls.end() ? nullptr : &call->second;
+  Connection& AcquireConnection() {
+    while (!m_idle.empty()) {
+      Connection& idle = *m_idle.back();
+      m_idle.pop_back();
+      if (IsUsable(idle)) {
+        return idle;
+      }
+      Retire(idle);
+    }
+    return Connect();
+  }
+
+  Connection& Connect() {
+    const std::uint64_t number = ++m_last_connection;
+    std::unique_ptr<Connection>& slot = m_connections[number];
+    slot = std::make_unique<Connection>();
+    slot->m_impl = this;
+    slot->m_number = number;
+    slot->m_stream = bufferevent_socket_new(
+        m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(slot->m_stream, &OnReadable, nullptr, &OnEvent,
+                      slot.get());
+    bufferevent_enable(slot->m_stream, EV_READ | EV_WRITE);
+    bufferevent_socket_connect_hostname(slot->m_stream, nullptr, AF_INET,
+                                        m_to.m_host.c_str(), m_to.m_port);
+    evbuffer_add_cb(OutputOf(*slot), &OnOutput, slot.get());
+    return *slot;
+  }
+
+  static void OnOutput(evbuffer* output, const evbuffer_cb_info*, void* arg) {
+    Call* call = static_cast<Connection*>(arg)->m_call;
+    if (call != nullptr && call->m_unsent) {
+      call->m_unsent->Set(evbuffer_get_length(output));
+    }
   }
 
-  [[nodiscard]] bool IsOversized(evbuffer* input) const {
-    return evbuffer_get_length(input) > kMaxHeadBytes + m_body_limit;
+  void Start(Call& call, const wire::HttpRequest& request) {
+    Connection& connection = AcquireConnection();
+    connection.m_call = &call;
+    ++connection.m_exchanges;
+    call.m_connection = &connection;
+    call.m_started = ReadClocks().m_time;
+    call.m_reader.emplace(m_limits, call.m_is_head);
+    const std::string head = EncodeHead(request, m_to);
+    evbuffer* output = OutputOf(connection);
+    evbuffer_add(output, head.data(), head.size());
+    evbuffer_add(output, request.m_body.data(), request.m_body.size());
   }
 
-  // evhttp limits heads and bodies, but not the line that begins a chunk.
-  static void OnInput(evbuffer* input,
-                      const evbuffer_cb_info* change,
-                      void* arg) {
-    auto* impl = static_cast<Impl*>(arg);
-    if (impl->IsOversized(input)) {
-      impl->FailOversizedSoon();
-    }
-    Call* call = impl->FindCall(impl->m_inputs, input);
-    if (call != nullptr && call->m_arriving && change->n_added > 0) {
-      // evhttp keeps what it removes from the input.
-      call->m_received += change->n_added;
-      call->m_arriving->Set(call->m_received);
+  void StartQueued() {
+    while (!m_queue.empty() && CanStart()) {
+      Call& call = m_calls.at(m_queue.front());
+      m_queue.pop_front();
+      const wire::HttpRequest request = std::move(call.m_pending_request);
+      Start(call, request);
     }
   }
 
-  static void OnOutput(evbuffer* output,
-                       const evbuffer_cb_info* change,
-                       void* arg) {
-    auto* impl = static_cast<Impl*>(arg);
-    Call* call = impl->FindCall(impl->m_outputs, output);
-    if (call != nullptr && call->m_unsent && change->n_deleted > 0) {
-      call->m_unsent->Set(evbuffer_get_length(output));
+  static void OnReadable(bufferevent* stream, void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    Impl* impl = connection->m_impl;
+    if (connection->m_call == nullptr) {
+      impl->Trace(*connection, {.m_kind = UncleanKind::kUnasked});
+      impl->OnIdleClosed(*connection);
+      return;
     }
+    impl->ReadResponse(*connection->m_call, bufferevent_get_input(stream));
   }
 
-  // Setting the timer again would postpone it for as long as bytes arrive.
-  void FailOversizedSoon() {
-    if (!std::exchange(m_has_oversized, true)) {
-      m_fail_oversized.Set(core::Duration::zero());
+  void ReadResponse(Call& call, evbuffer* input) {
+    const std::size_t length = evbuffer_get_length(input);
+    const auto read = call.m_reader->Read(
+        {reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length});
+    if (!read) {
+      Fail(call, ToClientError(read.error()));
+      return;
     }
-  }
-
-  void FailOversized() {
-    m_has_oversized = false;
-    std::vector<HttpCallId> oversized;
-    for (const auto& [id, call] : m_calls) {
-      if (call.m_connection != nullptr &&
-          (call.m_is_discarded || IsOversized(InputOf(call.m_connection)))) {
-        oversized.push_back(id);
-      }
+    evbuffer_drain(input, *read);
+    if (call.m_arriving) {
+      call.m_arriving->Set(call.m_reader->body_bytes() + length - *read);
     }
-    for (HttpCallId id : oversized) {
-      const auto it = m_calls.find(id);
-      if (it == m_calls.end()) {
-        continue;
-      }
-      Trace(it->second, HttpClientError::kTooLarge, 0, nullptr);
-      const Callback callback = std::move(it->second.m_callback);
-      Abandon(it->second);
-      callback(tl::unexpected(HttpClientError::kTooLarge));
+    if (call.m_reader->is_complete()) {
+      Deliver(call, call.m_reader->KeepsConnection());
     }
-    StartQueued();
   }
 
-  // Closes the connection of a call, which is not called back.
-  void Abandon(Call& call) {
-    call.m_is_cancelled = true;
-    if (call.m_connection != nullptr) {
-      --m_open;
-      Unassign(call.m_connection);
-      m_uses.erase(call.m_connection);
-      evhttp_connection_free(call.m_connection);
+  static void OnEvent(bufferevent* stream, short events, void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    Impl* impl = connection->m_impl;
+    if ((events & BEV_EVENT_CONNECTED) != 0) {
+      const int on = 1;
+      setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on,
+                 sizeof(on));
+      connection->m_is_connected = true;
+      return;
+    }
+    Call* call = connection->m_call;
+    if (call == nullptr) {
+      impl->OnIdleClosed(*connection);
+      return;
+    }
+    if (!connection->m_is_connected) {
+      impl->Fail(*call, HttpClientError::kNotSent);
+      return;
+    }
+    // A connection that was reset does not complete a response.
+    const bool is_end = (events & BEV_EVENT_EOF) != 0;
+    if (is_end && call->m_reader->End()) {
+      impl->Deliver(*call, false);
+    } else {
+      impl->Fail(*call, HttpClientError::kConnectionLost);
     }
-    m_calls.erase(call.m_id);
   }
 
-  void Start(Call& call, const wire::HttpRequest& request) {
-    const auto method = FindMethod(request.m_method);
-    if (!method) {
-      Finish(call.m_id, tl::unexpected(HttpClientError::kUnsupportedMethod));
+  void Deliver(Call& call, bool keeps_connection) {
+    wire::HttpResponse response = call.m_reader->Take();
+    const ResponseMatch match =
+        call.m_tie.m_check ? call.m_tie.m_check(response) : ResponseMatch::kOwn;
+    Connection& connection = *call.m_connection;
+    const std::size_t left_over = evbuffer_get_length(InputOf(connection));
+    if (match != ResponseMatch::kOwn) {
+      Fail(call, HttpClientError::kMismatchedResponse, &response);
       return;
     }
-    call.m_connection = AcquireConnection();
-    m_inputs[InputOf(call.m_connection)] = call.m_id;
-    m_outputs[OutputOf(call.m_connection)] = call.m_id;
-    ++m_uses[call.m_connection].m_exchanges;
-    call.m_started = ReadClocks().m_time;
-    const auto remaining = std::max((call.m_deadline - call.m_started).count(),
-                                    kMinTimeout.count());
-    const timeval timeout{remaining / kMicrosPerSecond,
-                          remaining % kMicrosPerSecond};
-    evhttp_connection_set_timeout_tv(call.m_connection, &timeout);
-    evhttp_request* message = evhttp_request_new(&OnDone, &call);
-    evhttp_request_set_error_cb(message, &OnError);
-    evkeyvalq* headers = evhttp_request_get_output_headers(message);
-    for (const wire::Header& header : request.m_headers) {
-      evhttp_add_header(headers, header.m_name.c_str(), header.m_value.c_str());
-    }
-    // HTTP/1.1 requires this header, and evhttp does not add it.
-    if (wire::FindHeader(request.m_headers, "Host") == nullptr) {
-      evhttp_add_header(
-          headers, "Host",
-          (m_to.m_host + ":" + std::to_string(m_to.m_port)).c_str());
+    if (left_over > 0) {
+      Trace(connection, {.m_kind = UncleanKind::kLeftOver,
+                         .m_left_over = left_over,
+                         .m_response = &response});
     }
-    if (!request.m_body.empty()) {
-      evbuffer_add(evhttp_request_get_output_buffer(message),
-                   request.m_body.data(), request.m_body.size());
-      if (*method == EVHTTP_REQ_GET || *method == EVHTTP_REQ_DELETE ||
-          *method == EVHTTP_REQ_OPTIONS || *method == EVHTTP_REQ_HEAD) {
-        evhttp_add_header(headers, "Content-Length",
-                          std::to_string(request.m_body.size()).c_str());
-      }
+    // The server would take the next request for the rest of this one's body.
+    const bool is_written = evbuffer_get_length(OutputOf(connection)) == 0;
+    if (keeps_connection && left_over == 0 && is_written) {
+      KeepIdle(connection, response);
+    } else {
+      Retire(connection);
     }
-    evhttp_make_request(call.m_connection, message, *method,
-                        request.m_path.c_str());
+    Finish(call.m_id, std::move(response));
   }
 
-  static void OnError(evhttp_request_error error, void* arg) {
-    static_cast<Call*>(arg)->m_error = error;
+  void KeepIdle(Connection& connection, const wire::HttpResponse& response) {
+    connection.m_call = nullptr;
+    connection.m_last_used = ReadClocks().m_time;
+    connection.m_expiry = connection.m_last_used +
+                          std::min(m_max_idle_time, ParseIdleTime(response));
+    m_idle.push_back(&connection);
   }
 
-  // If OnError was not called before, the connection was never established.
-  static void OnDone(evhttp_request* request, void* arg) {
-    auto* call = static_cast<Call*>(arg);
-    Impl* impl = call->m_impl;
-    if (impl->m_is_closing || call->m_is_cancelled) {
-      return;
+  void OnIdleClosed(Connection& connection) {
+    std::erase(m_idle, &connection);
+    Retire(connection);
+    if (m_connections.empty() && m_on_disconnected) {
+      m_on_disconnected();
     }
-    const bool has_response =
-        request != nullptr && evhttp_request_get_response_code(request) != 0;
-    if (has_response) {
-      wire::HttpResponse response = ReadResponse(request);
-      const bool is_own = !call->m_check || call->m_check(response);
-      const std::size_t left_over =
-          evbuffer_get_length(InputOf(call->m_connection));
-      if (!is_own) {
-        impl->Trace(*call, HttpClientError::kMismatchedResponse, left_over,
-                    &response);
-      } else if (left_over > 0) {
-        impl->Trace(*call, std::nullopt, left_over, &response);
-      }
-      if (!is_own) {
-        impl->Retire(call->m_connection);
-        impl->Finish(call->m_id,
-                     tl::unexpected(HttpClientError::kMismatchedResponse));
-        return;
-      }
-      impl->KeepIdle(call->m_connection, response);
-      impl->Finish(call->m_id, std::move(response));
+  }
+
+  void OnDeadline(HttpCallId id) {
+    Call& call = m_calls.at(id);
+    if (call.m_connection == nullptr || !call.m_connection->m_is_connected) {
+      Fail(call, HttpClientError::kNotSent);
       return;
     }
-    const HttpClientError error = call->m_error ? ToClientError(*call->m_error)
-                                                : HttpClientError::kNotSent;
-    impl->Trace(*call, error, 0, nullptr);
-    if (error == HttpClientError::kTimeout) {
-      impl->RetireUnusedSince(call->m_started);
-    }
-    impl->Retire(call->m_connection);
-    impl->Finish(call->m_id, tl::unexpected(error));
+    // The server's connections may all have fallen silent at once. Those that
+    // have carried a response since the call began work.
+    RetireIdleIf([&](const Connection& idle) {
+      return idle.m_last_used < call.m_started;
+    });
+    Fail(call, HttpClientError::kTimeout);
   }
 
-  void Trace(const Call& call,
-             std::optional<HttpClientError> error,
-             std::size_t left_over,
-             const wire::HttpResponse* response) {
-    if (m_on_trace) {
-      const ConnectionUse& use = m_uses[call.m_connection];
-      m_on_trace({call.m_id, use.m_number, use.m_exchanges, error, left_over,
-                  response});
+  // Setting the timer again would postpone it for as long as bytes arrive.
+  void FailDiscardedSoon() {
+    if (!std::exchange(m_has_discarded, true)) {
+      m_fail_discarded.Set(core::Duration::zero());
     }
   }
 
-  // evhttp has closed the connection already if the response says so.
-  void KeepIdle(evhttp_connection* connection,
-                const wire::HttpResponse& response) {
-    if (IsLastOfConnection(response)) {
-      Retire(connection);
-      return;
-    }
-    const core::Time now = ReadClocks().m_time;
-    m_idle_connections.push_back(
-        {connection, now + std::min(m_max_idle_time, ParseIdleTime(response)),
-         now});
-    evhttp_connection_set_closecb(connection, &OnIdleClosed, this);
-  }
-
-  // evhttp would connect again when the connection is used next, perhaps to
-  // another process at the same address.
-  static void OnIdleClosed(evhttp_connection* connection, void* arg) {
-    auto* impl = static_cast<Impl*>(arg);
-    const auto closed = std::erase_if(
-        impl->m_idle_connections,
-        [&](const auto& idle) { return idle.m_connection == connection; });
-    if (closed == 0) {
-      return;
+  void FailDiscarded() {
+    m_has_discarded = false;
+    std::vector<HttpCallId> failed;
+    for (const auto& [id, call] : m_calls) {
+      if (call.m_is_discarded || call.m_is_invalid) {
+        failed.push_back(id);
+      }
     }
-    impl->Retire(connection);
-    if (impl->m_open == 0 && impl->m_on_disconnected) {
-      impl->m_on_disconnected();
+    for (HttpCallId id : failed) {
+      const auto it = m_calls.find(id);
+      if (it != m_calls.end()) {
+        Fail(it->second, it->second.m_is_invalid
+                             ? HttpClientError::kInvalidRequest
+                             : HttpClientError::kTooLarge);
+      }
     }
   }
 
-  // evhttp still uses the connection when it reports a failure, so freeing it
-  // is deferred to the next iteration of the loop.
-  void Retire(evhttp_connection* connection) {
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    --m_open;
-    m_uses.erase(connection);
-    m_retired.push_back(connection);
-    m_free_retired.Set(core::Duration::zero());
+  void Fail(Call& call,
+            HttpClientError error,
+            const wire::HttpResponse* response = nullptr) {
+    if (call.m_connection != nullptr) {
+      Trace(*call.m_connection,
+            {.m_error = error,
+             .m_left_over = evbuffer_get_length(InputOf(*call.m_connection)),
+             .m_response = response});
+      Retire(*call.m_connection);
+    }
+    Finish(call.m_id, tl::unexpected(error));
   }
 
-  // The buffers of the connection no longer belong to a call.
-  void Unassign(evhttp_connection* connection) {
-    m_inputs.erase(InputOf(connection));
-    m_outputs.erase(OutputOf(connection));
+  void Trace(const Connection& connection, HttpCallTrace trace) {
+    if (m_on_trace) {
+      trace.m_call = connection.m_call == nullptr ? HttpCallId{0}
+                                                  : connection.m_call->m_id;
+      trace.m_connection = connection.m_number;
+      trace.m_exchange = connection.m_exchanges;
+      m_on_trace(trace);
+    }
   }
 
-  void Finish(HttpCallId id, Result&& result) {
-    auto node = m_calls.extract(id);
-    if (!node.empty()) {
-      if (node.mapped().m_connection != nullptr) {
-        Unassign(node.mapped().m_connection);
-      }
-      node.mapped().m_unsent.reset();
-      node.mapped().m_arriving.reset();
-      node.mapped().m_callback(std::move(result));
-    }
-    StartQueued();
+  // libevent may still be in a callback of the connection, so freeing it is
+  // deferred to the next iteration of the loop.
+  void Retire(Connection& connection) {
+    connection.m_call = nullptr;
+    bufferevent_disable(connection.m_stream, EV_READ | EV_WRITE);
+    bufferevent_setcb(connection.m_stream, nullptr, nullptr, nullptr, nullptr);
+    const auto it = m_connections.find(connection.m_number);
+    m_retired.push_back(std::move(it->second));
+    m_connections.erase(it);
+    m_free_retired.Set(core::Duration::zero());
   }
 
-  void StartQueued() {
-    while (!m_queue.empty() &&
-           (!m_idle_connections.empty() || m_open < m_max_connections)) {
-      Call& call = m_calls.at(m_queue.front());
-      m_queue.pop_front();
-      const wire::HttpRequest request = std::move(call.m_pending_request);
-      Start(call, request);
+  // Ends a call without its callback.
+  void Remove(Call& call) {
+    std::erase(m_queue, call.m_id);
+    if (call.m_connection != nullptr) {
+      Retire(*call.m_connection);
     }
+    m_calls.erase(call.m_id);
   }
 
-  void FreeRetired() {
-    for (evhttp_connection* connection : std::exchange(m_retired, {})) {
-      evhttp_connection_free(connection);
-    }
+  void Finish(HttpCallId id, Result&& result) {
+    auto node = m_calls.extract(id);
+    std::erase(m_queue, id);
+    Call& call = node.mapped();
+    call.m_deadline.reset();
+    call.m_unsent.reset();
+    call.m_arriving.reset();
+    call.m_callback(std::move(result));
+    StartQueued();
   }
 
   EventLoop& m_loop;
   core::Endpoint m_to;
   std::size_t m_max_connections;
-  std::size_t m_body_limit;
+  wire::ResponseLimits m_limits;
   core::Duration m_max_idle_time;
   BufferMeter* m_meter;
   std::function<void()> m_on_disconnected;
   std::function<void(const HttpCallTrace&)> m_on_trace;
+  bool m_has_discarded = false;
   std::uint64_t m_last_connection = 0;
-  std::unordered_map<evhttp_connection*, ConnectionUse> m_uses;
-  std::size_t m_open = 0;
-  bool m_is_closing = false;
-  bool m_has_oversized = false;
   std::uint64_t m_last_id = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
+  std::vector<std::unique_ptr<Connection>> m_retired;
+  /// The most recently used one is the last.
+  std::vector<Connection*> m_idle;
   std::unordered_map<HttpCallId, Call> m_calls;
   std::deque<HttpCallId> m_queue;
-  /// Calls by the buffers of their connections.
-  std::unordered_map<evbuffer*, HttpCallId> m_inputs;
-  std::unordered_map<evbuffer*, HttpCallId> m_outputs;
-  std::vector<IdleConnection> m_idle_connections;
-  std::vector<evhttp_connection*> m_retired;
-  Timer m_free_retired{m_loop, [this] { FreeRetired(); }};
-  Timer m_fail_oversized{m_loop, [this] { FailOversized(); }};
+  Timer m_free_retired{m_loop, [this] { m_retired.clear(); }};
+  Timer m_fail_discarded{m_loop, [this] { FailDiscarded(); }};
 };
 
 HttpClient::HttpClient(EventLoop& loop,
@@ -578,8 +588,8 @@
 HttpCallId HttpClient::Send(const wire::HttpRequest& request,
                             core::Duration timeout,
                             Callback callback,
-                            ResponseCheck check) {
-  return m_impl->Send(request, timeout, std::move(callback), std::move(check));
+                            ResponseTie tie) {
+  return m_impl->Send(request, timeout, std::move(callback), std::move(tie));
 }
 
 void HttpClient::SetTraceHandler(
--- a/runtime/tests/figlug_dialect_test.cc
+++ b/runtime/tests/figlug_dialect_test.cc
@@ -15,12 +15,15 @@
   const core::AttemptHead head{.m_request_id = core::RequestId{1, 2}};
   const wire::HttpRequest request =
       dialect.MakeTargetRequest({"GET", "/", {}, ""}, head, {});
-  const auto check = dialect.MakeResponseCheck(request);
+  const ResponseTie tie = dialect.MakeResponseTie(request);
   const std::string name(kRequestIdHeader);
-  CHECK(check && check({200, {}, ""}));
-  CHECK(check({200, {{name, core::ToString(head.m_request_id)}}, ""}));
-  CHECK_FALSE(
-      check({200, {{name, core::ToString(core::RequestId{1, 3})}}, ""}));
+  CHECK(tie.m_check != nullptr);
+  CHECK(tie.m_check({200, {}, ""}) == ResponseMatch::kOwn);
+  CHECK(tie.m_check({200, {{name, core::ToString(head.m_request_id)}}, ""}) ==
+        ResponseMatch::kOwn);
+  CHECK(
+      tie.m_check({200, {{name, core::ToString(core::RequestId{1, 3})}}, ""}) ==
+      ResponseMatch::kForeign);
 }
 
 }  // namespace figlug::runtime
--- a/runtime/tests/http_client_test.cc
+++ b/runtime/tests/http_client_test.cc
@@ -5,8 +5,10 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -157,6 +159,109 @@
   std::vector<bufferevent*> m_streams;
 };
 
+/// \brief A server that answers the requests of all its connections by a
+/// function of the numbers of the connection and of the request on it, from 1.
+class AnsweringServer {
+ public:
+  using Answer = std::function<std::string(std::size_t, std::size_t)>;
+
+  AnsweringServer(EventLoop& loop, Answer answer)
+      : m_loop(loop), m_answer(std::move(answer)) {
+    const sockaddr_in address = impl::ToSocketAddress(kServerAddress);
+    m_listener = evconnlistener_new_bind(
+        loop.base(), &OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
+        reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    CHECK(m_listener != nullptr);
+  }
+  ~AnsweringServer() {
+    for (const auto& stream : m_streams) {
+      bufferevent_free(stream->m_stream);
+    }
+    evconnlistener_free(m_listener);
+  }
+  AnsweringServer(const AnsweringServer&) = delete;
+  AnsweringServer& operator=(const AnsweringServer&) = delete;
+
+  [[nodiscard]] std::size_t connections() const { return m_streams.size(); }
+  /// \brief Writes bytes that nobody asked for on the newest connection.
+  void WriteUnasked(const std::string& bytes) {
+    LONGS_EQUAL(bytes.size(),
+                send(bufferevent_getfd(m_streams.back()->m_stream),
+                     bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  }
+
+ private:
+  struct Stream {
+    AnsweringServer* m_server = nullptr;
+    bufferevent* m_stream = nullptr;
+    std::size_t m_number = 0;
+    std::size_t m_requests = 0;
+  };
+
+  static void OnAccept(evconnlistener*,
+                       evutil_socket_t socket,
+                       sockaddr*,
+                       int,
+                       void* arg) {
+    auto* self = static_cast<AnsweringServer*>(arg);
+    self->m_streams.push_back(std::make_unique<Stream>());
+    Stream& stream = *self->m_streams.back();
+    stream.m_server = self;
+    stream.m_number = self->m_streams.size();
+    stream.m_stream = bufferevent_socket_new(self->m_loop.base(), socket,
+                                             BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(stream.m_stream, &OnRead, nullptr, nullptr, &stream);
+    bufferevent_enable(stream.m_stream, EV_READ | EV_WRITE);
+  }
+  static void OnRead(bufferevent* socket, void* arg) {
+    auto* stream = static_cast<Stream*>(arg);
+    evbuffer* input = bufferevent_get_input(socket);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    const std::string bytes =
+        stream->m_server->m_answer(stream->m_number, ++stream->m_requests);
+    bufferevent_write(socket, bytes.data(), bytes.size());
+  }
+
+  EventLoop& m_loop;
+  Answer m_answer;
+  evconnlistener* m_listener = nullptr;
+  std::vector<std::unique_ptr<Stream>> m_streams;
+};
+
+std::string MakeAnswer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+ResponseTie TieTo(const std::string& id) {
+  return {id, [id](const wire::HttpResponse& response) {
+            const std::string* named =
+                wire::FindHeader(response.m_headers, "X-Id");
+            if (named == nullptr) {
+              return ResponseMatch::kUnnamed;
+            }
+            return *named == id ? ResponseMatch::kOwn : ResponseMatch::kForeign;
+          }};
+}
+
+HttpClient::Result Ask(EventLoop& loop,
+                       HttpClient& client,
+                       const std::string& id,
+                       std::string body = "") {
+  HttpClient::Result outcome;
+  client.Send(
+      {"POST", "/order/1", {}, std::move(body)}, kRequestTimeout,
+      [&](HttpClient::Result&& result) {
+        outcome = std::move(result);
+        loop.Stop();
+      },
+      TieTo(id));
+  loop.Run();
+  return outcome;
+}
+
 /// \brief Result of one request to a scripted server.
 struct Fetched {
   HttpClient::Result m_result;
@@ -268,4 +373,64 @@
   LONGS_EQUAL(connections + 1, server.connections());
 }
 
+// Guards against bytes after an answer that are taken for the next one.
+TEST(HttpClient, AConnectionOnWhichMoreBytesArriveIsNotUsedAgain) {
+  for (const bool is_late : {false, true}) {
+    EventLoop loop;
+    const std::string more = MakeAnswer("2", "copy");
+    AnsweringServer server(loop, [&](std::size_t connection, std::size_t) {
+      const std::string id = std::to_string(connection);
+      return MakeAnswer(id, "own") + (is_late ? "" : more);
+    });
+    HttpClient client(loop, kServerAddress, 1, kMaxBodyBytes);
+    STRCMP_EQUAL("own", Ask(loop, client, "1")->m_body.c_str());
+    if (is_late) {
+      server.WriteUnasked(more);
+    }
+    STRCMP_EQUAL("own", Ask(loop, client, "2")->m_body.c_str());
+    LONGS_EQUAL(2, server.connections());
+  }
+}
+
+// Guards against another request's bytes where a server that has answered early
+// expects the rest of a body.
+TEST(HttpClient, AConnectionWithAnUnwrittenRequestIsNotUsedAgain) {
+  EventLoop loop;
+  AnsweringServer server(loop, [](std::size_t connection, std::size_t request) {
+    return request > 1 ? std::string()
+                       : MakeAnswer(std::to_string(connection), "early");
+  });
+  HttpClient client(loop, kServerAddress, 1, kMaxBodyBytes);
+  const std::string long_body(16U << 20, 'x');
+  STRCMP_EQUAL("early", Ask(loop, client, "1", long_body)->m_body.c_str());
+  STRCMP_EQUAL("early", Ask(loop, client, "2")->m_body.c_str());
+  LONGS_EQUAL(2, server.connections());
+}
+
+// Guards against a request that another one is smuggled into.
+TEST(HttpClient, ARequestThatCannotBeWrittenIsNotSent) {
+  EventLoop loop;
+  AnsweringServer server(
+      loop, [](std::size_t, std::size_t) { return MakeAnswer("", ""); });
+  HttpClient client(loop, kServerAddress, 1, kMaxBodyBytes);
+  const wire::HttpRequest requests[] = {
+      {"GET", "/ HTTP/1.1\r\nX: y", {}, ""},
+      {"GET", "/", {{"X", "y\r\n\r\nGET / HTTP/1.1"}}, ""},
+      {"GET", "/", {{"X: y\r\nZ", "z"}}, ""},
+      {"GE T", "/", {}, ""},
+      {"CONNECT", "/", {}, ""},
+      {"GET", "", {}, ""}};
+  for (const wire::HttpRequest& request : requests) {
+    HttpClient::Result outcome;
+    client.Send(request, kRequestTimeout, [&](HttpClient::Result&& result) {
+      outcome = std::move(result);
+      loop.Stop();
+    });
+    loop.Run();
+    CHECK_FALSE(outcome.has_value());
+    CHECK(outcome.error() == HttpClientError::kInvalidRequest);
+  }
+  LONGS_EQUAL(0, server.connections());
+}
+
 }  // namespace figlug::runtime
--- a/wire/include/figlug/wire/fwd.h
+++ b/wire/include/figlug/wire/fwd.h
@@ -8,15 +8,16 @@
 /// records of its log.
 namespace figlug::wire {
 
-struct WireError;     // wire_error.h
-struct Header;        // http_message.h
-struct HttpRequest;   // http_message.h
-struct HttpResponse;  // http_message.h
-struct AttemptFrame;  // frame.h
-struct ReplyFrame;    // frame.h
-struct CancelFrame;   // frame.h
-struct RawEntry;      // log_codec.h
-struct LogPage;       // log_codec.h
+struct WireError;      // wire_error.h
+struct Header;         // http_message.h
+struct HttpRequest;    // http_message.h
+struct HttpResponse;   // http_message.h
+class ResponseReader;  // response_reader.h
+struct AttemptFrame;   // frame.h
+struct ReplyFrame;     // frame.h
+struct CancelFrame;    // frame.h
+struct RawEntry;       // log_codec.h
+struct LogPage;        // log_codec.h
 
 }  // namespace figlug::wire
 
--- a/wire/include/figlug/wire/http_message.h
+++ b/wire/include/figlug/wire/http_message.h
@@ -1,6 +1,7 @@
 #ifndef FIGLUG_WIRE_HTTP_MESSAGE_H_
 #define FIGLUG_WIRE_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -39,6 +40,10 @@
 [[nodiscard]] const std::string* FindHeader(const Headers& headers,
                                             std::string_view name) noexcept;
 
+/// \brief Counts the header fields of a name, ignoring case.
+[[nodiscard]] std::size_t CountHeaders(const Headers& headers,
+                                       std::string_view name) noexcept;
+
 }  // namespace figlug::wire
 
 #endif  // FIGLUG_WIRE_HTTP_MESSAGE_H_
