Send an id once on a connection to a target

A caller whose request id came to a target twice, by a retry or a call that is made again, could get a late copy of the first answer as the second one: a success where the second run failed. Requests without an id got whatever answer was on their connection.

Cause: responses are tied to a request by its id, which two attempts share. A connection remembers the ids that it has carried and is passed by for a request that repeats one; a request without an id has a connection of its own.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -31,6 +31,8 @@
 /// Fraction of the server's Keep-Alive timeout during which an idle connection
 /// is reused.
 constexpr double kIdleReuseRatio = 0.7;
+/// Ids that a connection may have carried, which bounds their memory.
+constexpr std::size_t kMaxCarriedIds = 1024;
 
 constexpr std::string_view kWhiteSpaceAndControls = {" \t\r\n\0", 5};
 constexpr std::string_view kLineBreaks = {"\r\n\0", 3};
@@ -228,6 +230,8 @@
     bool m_is_connected = false;
     /// The call that uses the connection, or null.
     Call* m_call = nullptr;
+    /// Hashes of the ids that it has carried.
+    std::vector<std::size_t> m_carried_ids;
     /// From this time on, the server may close the idle connection.
     core::Time m_expiry{};
     /// When the last response on it was complete.
@@ -300,16 +304,36 @@
     return is_open || m_on_disconnected != nullptr;
   }
 
-  Connection& AcquireConnection() {
-    while (!m_idle.empty()) {
-      Connection& idle = *m_idle.back();
-      m_idle.pop_back();
-      if (IsUsable(idle)) {
-        return idle;
+  // A late response to an earlier attempt of the same request bears its id, so
+  // it must not find the next attempt on its connection.
+  Connection& AcquireConnection(const ResponseTie& tie) {
+    const bool is_tied = tie.m_check != nullptr;
+    const std::size_t id = std::hash<std::string>{}(tie.m_id);
+    const bool may_share = !is_tied || !tie.m_id.empty();
+    Connection* chosen = nullptr;
+    for (std::size_t i = m_idle.size(); may_share && i-- > 0;) {
+      Connection* idle = m_idle[i];
+      if (is_tied && std::ranges::count(idle->m_carried_ids, id) > 0) {
+        continue;
       }
-      Retire(idle);
+      m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i));
+      if (IsUsable(*idle)) {
+        chosen = idle;
+        break;
+      }
+      Retire(*idle);
+    }
+    if (chosen == nullptr) {
+      if (m_connections.size() >= m_max_connections) {
+        Retire(*m_idle.front());
+        m_idle.erase(m_idle.begin());
+      }
+      chosen = &Connect();
     }
-    return Connect();
+    if (is_tied) {
+      chosen->m_carried_ids.push_back(id);
+    }
+    return *chosen;
   }
 
   Connection& Connect() {
@@ -337,7 +361,7 @@
   }
 
   void Start(Call& call, const wire::HttpRequest& request) {
-    Connection& connection = AcquireConnection();
+    Connection& connection = AcquireConnection(call.m_tie);
     connection.m_call = &call;
     ++connection.m_exchanges;
     call.m_connection = &connection;
@@ -440,6 +464,10 @@
   }
 
   void KeepIdle(Connection& connection, const wire::HttpResponse& response) {
+    if (connection.m_carried_ids.size() >= kMaxCarriedIds) {
+      Retire(connection);
+      return;
+    }
     connection.m_call = nullptr;
     connection.m_last_used = ReadClocks().m_time;
     connection.m_expiry = connection.m_last_used +
--- a/runtime/tests/http_client_test.cc
+++ b/runtime/tests/http_client_test.cc
@@ -373,6 +373,36 @@
   LONGS_EQUAL(connections + 1, server.connections());
 }
 
+// Guards against a late copy of the answer to an earlier attempt, which bears
+// the same id as the next attempt.
+TEST(HttpClient, AConnectionCarriesAnIdOnce) {
+  EventLoop loop;
+  AnsweringServer server(loop, [](std::size_t connection, std::size_t request) {
+    if (connection == 1) {
+      return request == 1 ? MakeAnswer("1", "first")
+                          : MakeAnswer("1", "copy") + MakeAnswer("2", "other");
+    }
+    return MakeAnswer("1", "second");
+  });
+  HttpClient client(loop, kServerAddress, 2, kMaxBodyBytes);
+  STRCMP_EQUAL("first", Ask(loop, client, "1")->m_body.c_str());
+  STRCMP_EQUAL("second", Ask(loop, client, "1")->m_body.c_str());
+  LONGS_EQUAL(2, server.connections());
+}
+
+// Guards against an answer to a request that names none: nothing could tell it
+// from a late copy.
+TEST(HttpClient, ARequestWithoutAnIdHasAConnectionOfItsOwn) {
+  EventLoop loop;
+  AnsweringServer server(loop, [](std::size_t connection, std::size_t) {
+    return MakeAnswer(connection == 2 ? "" : "1", "body");
+  });
+  HttpClient client(loop, kServerAddress, 2, kMaxBodyBytes);
+  CHECK(Ask(loop, client, "1").has_value());
+  CHECK(Ask(loop, client, "").has_value());
+  LONGS_EQUAL(2, server.connections());
+}
+
 // Guards against bytes after an answer that are taken for the next one.
 TEST(HttpClient, AConnectionOnWhichMoreBytesArriveIsNotUsedAgain) {
   for (const bool is_late : {false, true}) {
