Pass over a late copy of another answer, and wait for the own one

Callers got 502, and requests that may run once were lost, when a second copy of an earlier answer arrived where their own was due: the connection was closed with the own answer behind the copy, though the id tells the two apart.

A response that names another request is passed over, four at most, and the own one is read; the connection is closed after it.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -31,6 +31,8 @@
 /// Fraction of the server's Keep-Alive timeout during which an idle connection
 /// is reused.
 constexpr double kIdleReuseRatio = 0.7;
+/// Responses to earlier requests that are passed over before the own one.
+constexpr std::uint32_t kMaxForeignResponses = 4;
 /// Ids that a connection may have carried, which bounds their memory.
 constexpr std::size_t kMaxCarriedIds = 1024;
 
@@ -248,6 +250,7 @@
     /// When it was given a connection.
     core::Time m_started{};
     std::optional<wire::ResponseReader> m_reader;
+    std::uint32_t m_foreign_responses = 0;
     wire::HttpRequest m_pending_request;
     /// The request's body until it is written.
     std::optional<BufferCharge> m_unsent;
@@ -394,22 +397,41 @@
   }
 
   void ReadResponse(Call& call, evbuffer* input) {
-    const std::size_t length = evbuffer_get_length(input);
-    const auto read = call.m_reader->Read(
-        {reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length});
-    if (!read) {
-      Fail(call, ToClientError(read.error()));
-      return;
-    }
-    evbuffer_drain(input, *read);
-    if (call.m_arriving) {
-      call.m_arriving->Set(call.m_reader->body_bytes() + length - *read);
-    }
-    if (call.m_reader->is_complete()) {
-      Deliver(call, call.m_reader->KeepsConnection());
+    while (true) {
+      const std::size_t length = evbuffer_get_length(input);
+      const auto read = call.m_reader->Read(
+          {reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length});
+      if (!read) {
+        Fail(call, ToClientError(read.error()));
+        return;
+      }
+      evbuffer_drain(input, *read);
+      if (call.m_arriving) {
+        call.m_arriving->Set(call.m_reader->body_bytes() + length - *read);
+      }
+      if (!call.m_reader->is_complete()) {
+        return;
+      }
+      if (!IsPassedOver(call)) {
+        Deliver(call, call.m_reader->KeepsConnection());
+        return;
+      }
+      Trace(*call.m_connection, {.m_kind = UncleanKind::kForeignResponse,
+                                 .m_response = &call.m_reader->response()});
+      ++call.m_foreign_responses;
+      call.m_reader.emplace(m_limits, call.m_is_head);
     }
   }
 
+  // The server still owes the own response.
+  static bool IsPassedOver(const Call& call) {
+    return call.m_tie.m_check &&
+           call.m_foreign_responses < kMaxForeignResponses &&
+           call.m_reader->KeepsConnection() &&
+           call.m_tie.m_check(call.m_reader->response()) ==
+               ResponseMatch::kForeign;
+  }
+
   static void OnEvent(bufferevent* stream, short events, void* arg) {
     auto* connection = static_cast<Connection*>(arg);
     Impl* impl = connection->m_impl;
@@ -455,7 +477,8 @@
     }
     // The server would take the next request for the rest of this one's body.
     const bool is_written = evbuffer_get_length(OutputOf(connection)) == 0;
-    if (keeps_connection && left_over == 0 && is_written) {
+    if (keeps_connection && left_over == 0 && is_written &&
+        call.m_foreign_responses == 0) {
       KeepIdle(connection, response);
     } else {
       Retire(connection);
--- a/runtime/tests/http_client_test.cc
+++ b/runtime/tests/http_client_test.cc
@@ -373,6 +373,27 @@
   LONGS_EQUAL(connections + 1, server.connections());
 }
 
+// Guards against a request that is failed, though its answer comes, for a
+// second copy of the answer before it.
+TEST(HttpClient, ALateCopyOfAnEarlierAnswerIsPassedOver) {
+  EventLoop loop;
+  AnsweringServer server(loop, [](std::size_t, std::size_t request) {
+    return request == 1 ? MakeAnswer("1", "first")
+                        : MakeAnswer("1", "copy") + MakeAnswer("2", "second");
+  });
+  HttpClient client(loop, kServerAddress, 1, kMaxBodyBytes);
+  std::vector<UncleanKind> traced;
+  client.SetTraceHandler(
+      [&](const HttpCallTrace& trace) { traced.push_back(trace.m_kind); });
+  STRCMP_EQUAL("first", Ask(loop, client, "1")->m_body.c_str());
+  STRCMP_EQUAL("second", Ask(loop, client, "2")->m_body.c_str());
+  LONGS_EQUAL(1, server.connections());
+  CHECK(traced == std::vector{UncleanKind::kForeignResponse});
+  // Another copy may follow on that connection.
+  (void)Ask(loop, client, "3");
+  LONGS_EQUAL(2, server.connections());
+}
+
 // Guards against a late copy of the answer to an earlier attempt, which bears
 // the same id as the next attempt.
 TEST(HttpClient, AConnectionCarriesAnIdOnce) {
