End a connection after its last response, and read on after a rejection

Callers with pipelined requests saw two faults. After a response with Connection: close, or to a request that asked for it, the requests behind it still ran and the connection stayed open, although the caller may count them as not read and send them again elsewhere. Behind a request that was rejected by its head, the next one was never answered. libevhtp does neither unless the response is written to a paused request and the connection is closed by the server.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -126,8 +126,10 @@
     connection.m_exchange.reset();
     event_del(connection.m_close_event);
     event_del(connection.m_close_check);
-    Write(request, response);
     evhtp_connection_t* handle = request->conn;
+    if (Write(request, response)) {
+      CloseOnceWritten(connection);
+    }
     evhtp_request_resume(request);
     if (m_is_reading_stopped && m_connections.contains(handle)) {
       bufferevent_disable(handle->bev, EV_READ);
@@ -335,13 +337,15 @@
       return;
     }
     if (connection.m_refusal) {
-      // libevhtp does not close a connection whose last response is written in
-      // this callback.
+      // Without the pause, libevhtp neither reads a request that waits behind
+      // this one nor closes the connection after its last response.
+      evhtp_request_pause(request);
       if (impl->Write(request, *connection.m_refusal)) {
         CloseOnceWritten(connection);
       }
       connection.m_refusal.reset();
       connection.m_request = {};
+      evhtp_request_resume(request);
       return;
     }
     // After a pause of this process, requests wait whose clients gave up since.
@@ -444,6 +448,8 @@
     if (is_last) {
       evhtp_request_set_keepalive(request, 0);
     }
+    // The client may also have asked for the end of the connection.
+    is_last = is_last || (request->flags & EVHTP_REQ_FLAG_KEEPALIVE) == 0;
     evbuffer_add(request->buffer_out, response.m_body.data(),
                  response.m_body.size());
     evhtp_send_reply(request, static_cast<evhtp_res>(response.m_status));
--- /dev/null
+++ b/runtime/tests/http_framing_test.cc
@@ -0,0 +1,179 @@
+// Bytes on the connections of callers: which requests they are, and what is
+// written in answer.
+
+#include "figlug/runtime/http_server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+#include "figlug/runtime/impl/socket_address.h"
+
+namespace figlug::runtime {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr core::Duration kWaitTimeout = std::chrono::seconds(10);
+/// Long enough for bytes on the loopback to be read and handled.
+constexpr core::Duration kSettleTime = milliseconds(100);
+constexpr core::Duration kAnswerDelay = milliseconds(10);
+constexpr std::size_t kMaxBodyBytes = 1U << 20;
+const core::Endpoint kServerAddress = {"127.0.0.1", 7973};
+
+std::string Get(std::string_view path, std::string_view fields = "") {
+  return "GET " + std::string(path) + " HTTP/1.1\r\nHost: a\r\n" +
+         std::string(fields) + "\r\n";
+}
+
+std::string Post(std::string_view fields, std::string_view body) {
+  return "POST /order HTTP/1.1\r\nHost: a\r\n" + std::string(fields) + "\r\n" +
+         std::string(body);
+}
+
+/// \brief One connection to a server that answers each request after a while.
+class Exchange {
+ public:
+  explicit Exchange(wire::HttpResponse answer = {200, {}, "done"})
+      : m_answer(std::move(answer)),
+        m_server(
+            m_loop,
+            {[this](const wire::HttpRequest&) { return m_refusal; },
+             [this](ExchangeId id, wire::HttpRequest&& request) {
+               m_requests.push_back(std::move(request));
+               m_timers.push_back(std::make_unique<Timer>(
+                   m_loop, [this, id] { m_server.Respond(id, m_answer); }));
+               m_timers.back()->Set(kAnswerDelay);
+             },
+             [](ExchangeId) {}},
+            kMaxBodyBytes) {
+    CHECK(m_server.Listen(kServerAddress).has_value());
+    m_socket = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = impl::ToSocketAddress(kServerAddress);
+    CHECK(connect(m_socket, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  }
+  ~Exchange() { close(m_socket); }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /// \brief Rejects each request by its head.
+  void RefuseWith(wire::HttpResponse refusal) {
+    m_refusal = std::move(refusal);
+  }
+  void Send(std::string_view bytes) const {
+    send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  [[nodiscard]] bool WaitUntilClosed() {
+    return WaitUntil([this] { return m_is_closed; });
+  }
+  /// \brief Waits for a number of answers, and for any that follow them.
+  [[nodiscard]] bool WaitForAnswers(std::size_t count) {
+    const bool is_met = WaitUntil([&] { return answers() >= count; });
+    RunFor(kSettleTime);
+    return is_met && answers() == count;
+  }
+  [[nodiscard]] const std::vector<wire::HttpRequest>& requests() const {
+    return m_requests;
+  }
+  [[nodiscard]] const std::string& received() const { return m_received; }
+  [[nodiscard]] bool is_closed() const { return m_is_closed; }
+  [[nodiscard]] std::size_t answers() const {
+    std::size_t count = 0;
+    for (std::size_t at = m_received.find("HTTP/1.1 "); at != std::string::npos;
+         at = m_received.find("HTTP/1.1 ", at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
+ private:
+  template <class Condition>
+  bool WaitUntil(Condition condition) {
+    const core::Time end = ReadClocks().m_time + kWaitTimeout;
+    while (!condition() && ReadClocks().m_time < end) {
+      RunFor(milliseconds(10));
+    }
+    return condition();
+  }
+  void RunFor(core::Duration duration) {
+    Timer timer(m_loop, [this] { m_loop.Stop(); });
+    timer.Set(duration);
+    m_loop.Run();
+    std::array<char, 4096> buffer{};
+    ssize_t length = 0;
+    while ((length = recv(m_socket, buffer.data(), buffer.size(),
+                          MSG_DONTWAIT)) > 0) {
+      m_received.append(buffer.data(), static_cast<std::size_t>(length));
+    }
+    m_is_closed = m_is_closed || length == 0;
+  }
+
+  EventLoop m_loop;
+  wire::HttpResponse m_answer;
+  std::optional<wire::HttpResponse> m_refusal;
+  std::vector<wire::HttpRequest> m_requests;
+  std::vector<std::unique_ptr<Timer>> m_timers;
+  std::string m_received;
+  bool m_is_closed = false;
+  int m_socket = -1;
+  HttpServer m_server;
+};
+
+}  // namespace
+
+TEST_GROUP(HttpFraming){};
+
+// Guards against requests that run although their caller was told that the
+// connection closes before them, and sends them again elsewhere.
+TEST(HttpFraming, NothingIsReadAfterTheLastAnswer) {
+  const wire::HttpResponse closing = {200, {{"Connection", "close"}}, "done"};
+  const std::string last = Get("/1", "Connection: close\r\n");
+  const std::string old = "GET /1 HTTP/1.0\r\nHost: a\r\n\r\n";
+  for (const bool is_closed_by_server : {false, true}) {
+    for (const std::string& first : {last, old}) {
+      Exchange exchange(is_closed_by_server ? closing
+                                            : wire::HttpResponse{200, {}, "x"});
+      exchange.Send((is_closed_by_server ? Get("/1") : first) + Get("/2") +
+                    Get("/3"));
+      CHECK_TEXT(exchange.WaitUntilClosed(), exchange.received().c_str());
+      LONGS_EQUAL(1, exchange.requests().size());
+    }
+  }
+}
+
+// Guards against requests that are never answered because the one before them
+// was rejected by its head.
+TEST(HttpFraming, ARequestBehindARejectedOneIsAnswered) {
+  Exchange exchange;
+  exchange.RefuseWith({503, {}, "full"});
+  exchange.Send(Get("/1") + Post("Content-Length: 3\r\n", "abc") + Get("/3"));
+  CHECK(exchange.WaitForAnswers(3));
+  CHECK(!exchange.is_closed());
+}
+
+// Guards against answers to another request of the same connection.
+TEST(HttpFraming, PipelinedRequestsAreAnsweredInTheirOrder) {
+  Exchange exchange;
+  exchange.Send(
+      Get("/1") + Post("Content-Length: 3\r\n", "abc") +
+      Post("Transfer-Encoding: chunked\r\n", "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n") +
+      Get("/4", "Content-Length: 3\r\n").append("abc") + Get("/5"));
+  CHECK(exchange.WaitForAnswers(5));
+  LONGS_EQUAL(5, exchange.requests().size());
+  for (const std::size_t with_body : {1U, 2U, 3U}) {
+    STRCMP_EQUAL("abc", exchange.requests()[with_body].m_body.c_str());
+  }
+  STRCMP_EQUAL("/5", exchange.requests()[4].m_path.c_str());
+  CHECK(!exchange.is_closed());
+}
+
+}  // namespace figlug::runtime
