Write no body in answer to HEAD

Callers saw the body of a response to HEAD, such as the text of a refusal, as the beginning of the next answer on their connection: bytes that are no answer. libevhtp writes whatever body it is given. The length is now stated and the body left out. AnAnswerToHeadHasNoBody failed before and passes with the change.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -450,8 +450,13 @@
     }
     // The client may also have asked for the end of the connection.
     is_last = is_last || (request->flags & EVHTP_REQ_FLAG_KEEPALIVE) == 0;
-    evbuffer_add(request->buffer_out, response.m_body.data(),
-                 response.m_body.size());
+    if (evhtp_request_get_method(request) != htp_method_HEAD) {
+      evbuffer_add(request->buffer_out, response.m_body.data(),
+                   response.m_body.size());
+    } else if (wire::FindHeader(response.m_headers, "Content-Length") ==
+               nullptr) {
+      add("Content-Length", std::to_string(response.m_body.size()));
+    }
     evhtp_send_reply(request, static_cast<evhtp_res>(response.m_status));
     return is_last;
   }
--- a/runtime/tests/http_framing_test.cc
+++ b/runtime/tests/http_framing_test.cc
@@ -132,6 +132,23 @@
 
 TEST_GROUP(HttpFraming){};
 
+// Guards against bytes after the head of an answer to HEAD, which the caller
+// takes for the next answer on the connection.
+TEST(HttpFraming, AnAnswerToHeadHasNoBody) {
+  const std::string head = "HEAD /order HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const bool is_refused : {false, true}) {
+    Exchange exchange;
+    if (is_refused) {
+      exchange.RefuseWith({503, {}, "full"});
+    }
+    exchange.Send(head + head);
+    CHECK_TEXT(exchange.WaitForAnswers(2), exchange.received().c_str());
+    STRCMP_CONTAINS("Content-Length: 4\r\n", exchange.received().c_str());
+    CHECK(exchange.received().ends_with("\r\n\r\n"));
+    STRCMP_CONTAINS("\r\n\r\nHTTP/1.1 ", exchange.received().c_str());
+  }
+}
+
 // Guards against requests that run although their caller was told that the
 // connection closes before them, and sends them again elsewhere.
 TEST(HttpFraming, NothingIsReadAfterTheLastAnswer) {
