Answer 502 where a response cannot be written as one HTTP response

A status outside 200 to 599 reached callers as it was (HTTP/1.1 0 UNKNOWN, or 100 Continue with a body), and a line break in a header field as another field or another response. AnAnswerThatCannotBeWrittenBecomesABadGateway failed before and passes with the change.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -3,6 +3,7 @@
 #include <evhtp.h>
 #include <poll.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <unordered_map>
@@ -28,7 +29,10 @@
 constexpr std::string_view kOverloadResponse =
     "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
     "Content-Length: 0\r\n\r\n";
+constexpr std::uint16_t kBadGateway = 502;
 constexpr std::uint16_t kUnavailable = 503;
+constexpr std::uint16_t kMinFinalStatus = 200;
+constexpr std::uint16_t kMaxStatus = 599;
 constexpr int kContentTooLarge = 413;
 constexpr std::size_t kMaxHeadBytes = 64U << 10;
 /// Memory that libevhtp uses for a header field besides its name and value.
@@ -55,6 +59,15 @@
   return path;
 }
 
+// Any other response would be read as none, or as more than one.
+bool IsWritable(const wire::HttpResponse& response) {
+  return response.m_status >= kMinFinalStatus &&
+         response.m_status <= kMaxStatus &&
+         std::ranges::all_of(response.m_headers, [](const auto& header) {
+           return wire::IsValidField(header.m_name, header.m_value);
+         });
+}
+
 // Assigning an empty string would keep the memory.
 void FreeBody(wire::HttpRequest& request) {
   std::string().swap(request.m_body);
@@ -431,6 +444,13 @@
 
   // Returns whether it is the last response on its connection.
   bool Write(evhtp_request_t* request, const wire::HttpResponse& response) {
+    if (!IsWritable(response)) {
+      LOG4CPLUS_WARN(ProcessLogger(),
+                     "response with status "
+                         << response.m_status
+                         << " or one of its header fields is not HTTP");
+      return Write(request, {kBadGateway, {}, ""});
+    }
     const auto add = [&](const std::string& name, const std::string& value) {
       evhtp_headers_add_header(
           request->headers_out,
--- a/runtime/tests/http_framing_test.cc
+++ b/runtime/tests/http_framing_test.cc
@@ -167,6 +167,33 @@
   }
 }
 
+// Guards against a status or header field that makes two answers of one, or
+// none.
+TEST(HttpFraming, AnAnswerThatCannotBeWrittenBecomesABadGateway) {
+  for (const std::uint16_t status : {0, 99, 100, 101, 199, 600, 1000, 65535}) {
+    Exchange exchange({status, {{"X-Server-Seal", "s"}}, "done"});
+    exchange.Send(Get("/1"));
+    CHECK(exchange.WaitForAnswers(1));
+    STRNCMP_EQUAL("HTTP/1.1 502 ", exchange.received().c_str(), 13);
+    CHECK(exchange.received().find("X-Server-Seal") == std::string::npos);
+  }
+  const std::array<wire::Header, 7> fields = {{
+      {"X-A", "b\r\nX-Server-Seal: s"},
+      {"X-A", "b\nX-Server-Seal: s"},
+      {"X-A", std::string("b\0c", 3)},
+      {"X-A\r\nX-Server-Seal", "s"},
+      {"X-A: b", "c"},
+      {"X A", "b"},
+      {"", "b"},
+  }};
+  for (const wire::Header& field : fields) {
+    Exchange exchange({200, {field}, "done"});
+    exchange.Send(Get("/1"));
+    CHECK(exchange.WaitForAnswers(1));
+    STRNCMP_EQUAL("HTTP/1.1 502 ", exchange.received().c_str(), 13);
+  }
+}
+
 // Guards against requests that are never answered because the one before them
 // was rejected by its head.
 TEST(HttpFraming, ARequestBehindARejectedOneIsAnswered) {
--- a/wire/include/figlug/wire/http_message.h
+++ b/wire/include/figlug/wire/http_message.h
@@ -44,6 +44,11 @@
 [[nodiscard]] std::size_t CountHeaders(const Headers& headers,
                                        std::string_view name) noexcept;
 
+/// \brief Whether a header field is read as it was written: its name is a token
+/// and its value holds no control character but the tab.
+[[nodiscard]] bool IsValidField(std::string_view name,
+                                std::string_view value) noexcept;
+
 }  // namespace figlug::wire
 
 #endif  // FIGLUG_WIRE_HTTP_MESSAGE_H_
--- a/wire/src/http_message.cc
+++ b/wire/src/http_message.cc
@@ -13,6 +13,16 @@
          strncasecmp(header.m_name.data(), name.data(), name.size()) == 0;
 }
 
+bool IsTokenCharacter(char c) noexcept {
+  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+         (c >= 'A' && c <= 'Z') || marks.find(c) != std::string_view::npos;
+}
+
+bool IsControl(char c) noexcept {
+  return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+}
+
 }  // namespace
 
 const std::string* FindHeader(const Headers& headers,
@@ -28,4 +38,10 @@
       headers, [&](const Header& header) { return IsNamed(header, name); }));
 }
 
+bool IsValidField(std::string_view name, std::string_view value) noexcept {
+  return !name.empty() && std::ranges::all_of(name, IsTokenCharacter) &&
+         std::ranges::none_of(value,
+                              [](char c) { return IsControl(c) && c != '\t'; });
+}
+
 }  // namespace figlug::wire
