Reject requests whose head can be read in two ways

Of two lengths the last counted, a length beside a transfer coding was passed over, and with a transfer coding that libevhtp does not know (CHUNKED, a tab before it, gzip) the target ran the request without its body and the caller got a success. A name with a space before the colon did not frame the body, so what followed ran as a request of its own. A version such as 1.11 was answered with HTTP/1.; and an absolute target ran whatever its host. All get 400 and the connection is closed. ABodyOfAmbiguousLengthIsRejected and AHeadThatCanBeReadInTwoWaysIsRejected failed before and pass with the change.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -21,7 +21,7 @@
 constexpr std::string_view kInvalidHeadResponse =
     "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
     "Content-Type: text/plain\r\nContent-Length: 21\r\n\r\n"
-    "invalid request line\n";
+    "invalid request head\n";
 constexpr std::string_view kHeadTooLargeResponse =
     "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n"
     "Content-Type: text/plain\r\nContent-Length: 26\r\n\r\n"
@@ -50,6 +50,38 @@
          (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+// Whether the header fields say in one way at most how long the body is.
+// libevhtp takes the last of several lengths, and no body for a transfer coding
+// that it does not know.
+bool HasClearLength(const wire::Headers& headers) {
+  const std::size_t lengths = wire::CountHeaders(headers, "Content-Length");
+  const std::size_t codings = wire::CountHeaders(headers, "Transfer-Encoding");
+  if (lengths + codings == 0) {
+    return true;
+  }
+  if (lengths + codings > 1) {
+    return false;
+  }
+  if (codings == 1) {
+    return *wire::FindHeader(headers, "Transfer-Encoding") == "chunked";
+  }
+  const std::string& length = *wire::FindHeader(headers, "Content-Length");
+  return !length.empty() && std::ranges::all_of(length, [](char c) {
+    return c >= '0' && c <= '9';
+  });
+}
+
+// Whether the line and the header fields of a request can be read in one way.
+bool IsUnambiguous(const evhtp_request_t* request,
+                   const wire::HttpRequest& head) {
+  htparser* parser = request->conn->parser;
+  return htparser_get_major(parser) == 1 && htparser_get_minor(parser) <= 1 &&
+         request->method != htp_method_CONNECT &&
+         request->uri->scheme == htp_scheme_none &&
+         wire::CountHeaders(head.m_headers, "Host") <= 1 &&
+         HasClearLength(head.m_headers);
+}
+
 std::string PathAndQuery(const evhtp_uri_t* uri) {
   std::string path = uri->path->full;
   if (uri->query_raw != nullptr && uri->query_raw[0] != '\0') {
@@ -243,6 +275,13 @@
     if (connection->m_closes_once_written) {
       return EVHTP_RES_OK;
     }
+    if (!wire::IsValidField({header->key, header->klen},
+                            {header->val, header->vlen})) {
+      LOG4CPLUS_WARN(ProcessLogger(),
+                     "rejected a request with an invalid header field");
+      RejectConnection(*connection, kInvalidHeadResponse);
+      return EVHTP_RES_OK;
+    }
     connection->m_head_bytes += header->klen + header->vlen + kHeaderFieldBytes;
     if (connection->m_head_bytes > kMaxHeadBytes) {
       LOG4CPLUS_WARN(ProcessLogger(),
@@ -298,7 +337,7 @@
     auto head = ReadHead(request);
     if (!head) {
       LOG4CPLUS_WARN(ProcessLogger(),
-                     "rejected a request whose first line is invalid");
+                     "rejected a request whose head is invalid");
       connection->m_impl->RejectConnection(*connection, kInvalidHeadResponse);
       return EVHTP_RES_OK;
     }
@@ -426,6 +465,9 @@
     head.m_method = method;
     head.m_path = PathAndQuery(uri);
     evhtp_headers_for_each(request->headers_in, &CopyHeader, &head.m_headers);
+    if (!IsUnambiguous(request, head)) {
+      return std::nullopt;
+    }
     return head;
   }
 
--- a/runtime/tests/http_framing_test.cc
+++ b/runtime/tests/http_framing_test.cc
@@ -128,6 +128,16 @@
   HttpServer m_server;
 };
 
+void CheckRejected(std::string_view bytes) {
+  Exchange exchange;
+  exchange.Send(bytes);
+  CHECK_TEXT(exchange.WaitUntilClosed(), std::string(bytes).c_str());
+  LONGS_EQUAL_TEXT(0, exchange.requests().size(), std::string(bytes).c_str());
+  STRNCMP_EQUAL_TEXT("HTTP/1.1 400 ", exchange.received().c_str(), 13,
+                     std::string(bytes).c_str());
+  LONGS_EQUAL_TEXT(1, exchange.answers(), std::string(bytes).c_str());
+}
+
 }  // namespace
 
 TEST_GROUP(HttpFraming){};
@@ -194,6 +204,50 @@
   }
 }
 
+// Guards against a request hidden in the body of another, and against a body
+// that does not reach the target, where the head says in two ways how long the
+// body is, or in one that is not understood.
+TEST(HttpFraming, ABodyOfAmbiguousLengthIsRejected) {
+  const std::array<std::string_view, 14> fields = {
+      "Content-Length: 3\r\nContent-Length: 5\r\n",
+      "Content-Length: 3\r\nContent-Length: 3\r\n",
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+      "Content-Length:\r\n",
+      "Content-Length : 3\r\n",
+      "Transfer-Encoding : chunked\r\n",
+      "Transfer-Encoding:\tchunked\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding: identity\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding:\r\n\tchunked\r\n",
+  };
+  for (const std::string_view field : fields) {
+    CheckRejected(Post(field, "3\r\nabc\r\n0\r\n\r\n" + Get("/hidden")));
+  }
+}
+
+// Guards against header fields that the target reads as others than this
+// process.
+TEST(HttpFraming, AHeadThatCanBeReadInTwoWaysIsRejected) {
+  const std::array<std::string, 9> heads = {
+      "GET /1 HTTP/1.1\r\n X-A: b\r\nHost: a\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\r\nX-A : b\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\r\nX A: b\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+      "GET /1 HTTP/2.0\r\nHost: a\r\n\r\n",
+      "GET /1 HTTP/1.11\r\nHost: a\r\n\r\n",
+      "GET /1 HTTP/11.1\r\nHost: a\r\n\r\n",
+      "CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n",
+      "GET http://b/1 HTTP/1.1\r\nHost: a\r\n\r\n",
+  };
+  for (const std::string& head : heads) {
+    CheckRejected(head);
+  }
+}
+
 // Guards against requests that are never answered because the one before them
 // was rejected by its head.
 TEST(HttpFraming, ARequestBehindARejectedOneIsAnswered) {
