Pass an empty query on, and reject a fragment

A target ran /a? as /a, and /a?x#b as /a?x: with another path than the caller's. A request never names a fragment, so it is answered with 400. PathAndQueryArriveUnchanged failed before and passes with the change.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -78,13 +78,15 @@
   return htparser_get_major(parser) == 1 && htparser_get_minor(parser) <= 1 &&
          request->method != htp_method_CONNECT &&
          request->uri->scheme == htp_scheme_none &&
+         head.m_path.find('#') == std::string::npos &&
+         request->uri->fragment == nullptr &&
          wire::CountHeaders(head.m_headers, "Host") <= 1 &&
          HasClearLength(head.m_headers);
 }
 
 std::string PathAndQuery(const evhtp_uri_t* uri) {
   std::string path = uri->path->full;
-  if (uri->query_raw != nullptr && uri->query_raw[0] != '\0') {
+  if (uri->query_raw != nullptr) {
     path += "?";
     path += reinterpret_cast<const char*>(uri->query_raw);
   }
--- a/runtime/tests/http_framing_test.cc
+++ b/runtime/tests/http_framing_test.cc
@@ -248,6 +248,36 @@
   }
 }
 
+// Guards against targets that run a request with another path or query.
+TEST(HttpFraming, PathAndQueryArriveUnchanged) {
+  const std::array<std::string_view, 13> paths = {
+      "/a?",
+      "/a??",
+      "/a?x=?y",
+      "//a//b",
+      "/a%2Fb%00",
+      "/a/../b/",
+      "/a;b=c/;d",
+      "/a?&&=;%z",
+      "/a?x=/b//",
+      "/a/",
+      "/",
+      "/?",
+      "/!$&'()*+,-.:=@[]^_`{|}~\"<>\\"};
+  for (const std::string_view path : paths) {
+    Exchange exchange;
+    exchange.Send(Get(path));
+    CHECK(exchange.WaitForAnswers(1));
+    LONGS_EQUAL(1, exchange.requests().size());
+    STRCMP_EQUAL(std::string(path).c_str(),
+                 exchange.requests()[0].m_path.c_str());
+  }
+  // A request never names a fragment.
+  for (const std::string_view path : {"/a#b", "/a?x=1#b", "/a?#b?c", "/#"}) {
+    CheckRejected(Get(path));
+  }
+}
+
 // Guards against requests that are never answered because the one before them
 // was rejected by its head.
 TEST(HttpFraming, ARequestBehindARejectedOneIsAnswered) {
