Test which attempt an answered call ends with

The process keeps the latest response of a call and passes over the attempt that its end names. In 500 calls with random ends of attempts, the core named the one that answered last, so no caller gets another's response. No fault was found.

--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 
 #include <CppUTest/TestHarness.h>
 
@@ -667,6 +668,53 @@
         ends[0].m_attempt == first[0].m_attempt);
 }
 
+// Guards against a caller that gets the response to another attempt than the
+// one that its call ended with: the process keeps the latest response of a
+// call.
+TEST(RoutedNode, AnAnsweredCallEndsWithTheAttemptThatAnsweredLast) {
+  constexpr std::uint64_t calls = 500;
+  std::mt19937_64 random(34);
+  RoutedNode self("catalogue");
+  self.Start();
+  for (std::uint64_t id = 6; id < 10; ++id) {
+    self.Record(JoinRecord{RoutedNode::OtherMember(id, "archive"), {}});
+    self.Record(WeightRecord{MemberId{id}, kMaxWeight});
+  }
+  std::uint64_t later_answers = 0;
+  for (std::uint64_t i = 0; i < calls; ++i) {
+    self.ClearActions();
+    self.Call("/archive/1");
+    std::size_t ended = 0;
+    AttemptId last_answered{0};
+    while (self.ActionsOf<FinishCall>().empty()) {
+      const auto sent = self.ActionsOf<SendAttempt>();
+      if (ended == sent.size() || random() % 4 == 0) {
+        self.Advance(milliseconds(20));
+        continue;
+      }
+      const AttemptId attempt = sent[ended++].m_attempt;
+      const std::uint64_t kind = random() % 4;
+      if (kind < 2) {
+        last_answered = attempt;
+        later_answers += ended > 1 ? 1 : 0;
+      }
+      self.EndAttempt(attempt,
+                      kind < 2
+                          ? Outcome::kAnswered
+                          : (kind == 2 ? Outcome::kNotRun : Outcome::kUnknown),
+                      kind == 0   ? Reason::kNone
+                      : kind == 1 ? Reason::kTargetError
+                      : kind == 2 ? Reason::kOverloaded
+                                  : Reason::kTargetFailed);
+    }
+    const FinishCall end = self.ActionsOf<FinishCall>().front();
+    if (end.m_outcome == Outcome::kAnswered) {
+      CHECK(end.m_attempt == last_answered);
+    }
+  }
+  CHECK(later_answers > 10);
+}
+
 // Guards against a storm of arrivals at targets that hold no keys: a refusal of
 // the target was retried like one of a gate, which no budget limits.
 TEST(RoutedNode, ARequestThatTargetsMisdirectArrivesAtMostMaxAttemptsTimes) {
