Reject control characters in a path

They were passed on to targets, which may read another path; a tab ended in 503. PathAndQueryArriveUnchanged failed before for /a<tab>b, /a<1> and /a?<127> and passes with the change: 400.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -71,6 +71,10 @@
   });
 }
 
+bool IsPathCharacter(char c) {
+  return static_cast<unsigned char>(c) > ' ' && c != '\x7f' && c != '#';
+}
+
 // Whether the line and the header fields of a request can be read in one way.
 bool IsUnambiguous(const evhtp_request_t* request,
                    const wire::HttpRequest& head) {
@@ -78,7 +82,7 @@
   return htparser_get_major(parser) == 1 && htparser_get_minor(parser) <= 1 &&
          request->method != htp_method_CONNECT &&
          request->uri->scheme == htp_scheme_none &&
-         head.m_path.find('#') == std::string::npos &&
+         std::ranges::all_of(head.m_path, IsPathCharacter) &&
          request->uri->fragment == nullptr &&
          wire::CountHeaders(head.m_headers, "Host") <= 1 &&
          HasClearLength(head.m_headers);
--- a/runtime/tests/http_framing_test.cc
+++ b/runtime/tests/http_framing_test.cc
@@ -272,8 +272,9 @@
     STRCMP_EQUAL(std::string(path).c_str(),
                  exchange.requests()[0].m_path.c_str());
   }
-  // A request never names a fragment.
-  for (const std::string_view path : {"/a#b", "/a?x=1#b", "/a?#b?c", "/#"}) {
+  // A request never names a fragment, nor a control character.
+  for (const std::string_view path :
+       {"/a#b", "/a?x=1#b", "/a?#b?c", "/#", "/a\tb", "/a\x01", "/a?\x7f"}) {
     CheckRejected(Get(path));
   }
 }
