--- a/runtime/tests/peer_transport_test.cc
+++ b/runtime/tests/peer_transport_test.cc
@@ -196,4 +196,47 @@
   LONGS_EQUAL(0, closed);
 }
 
+// Guards against a caller that gets the response to another attempt: one that
+// is repeated, or that answers no attempt sent on its connection.
+TEST(PeerTransport, OnlyTheFirstReplyToAnOpenAttemptIsDelivered) {
+  EventLoop loop;
+  std::vector<core::AttemptId> replies;
+  PeerTransport* replying = nullptr;
+  PeerTransport gate(
+      loop,
+      {.m_on_frame =
+           [&](PeerConnectionId from, wire::Frame&& frame) {
+             const auto* attempt = std::get_if<wire::AttemptFrame>(&frame);
+             if (attempt == nullptr) {
+               return;
+             }
+             const auto id = static_cast<std::uint64_t>(attempt->m_attempt);
+             for (const std::uint64_t answered : {id + 7, id, id}) {
+               replying->Reply(from, {core::AttemptId{answered}});
+             }
+           },
+       .m_on_reply = [](auto&&) {},
+       .m_on_lost = [](auto, auto) {},
+       .m_on_closed = [](auto) {}});
+  replying = &gate;
+  CHECK(gate.Listen(kGateAddress).has_value());
+  PeerTransport ingress(loop, {.m_on_frame = [](auto, auto&&) {},
+                               .m_on_reply =
+                                   [&](wire::ReplyFrame&& reply) {
+                                     replies.push_back(reply.m_attempt);
+                                   },
+                               .m_on_lost = [](auto, auto) {},
+                               .m_on_closed = [](auto) {}});
+  CHECK(ingress.Listen(kIngressAddress).has_value());
+  ingress.SendAttempt(kGateAddress, MakeAttempt(1));
+  ingress.SendAttempt(kGateAddress, MakeAttempt(2));
+  const core::Time end = ReadClocks().m_time + kWaitTimeout;
+  while (replies.size() < 2 && ReadClocks().m_time < end) {
+    RunFor(loop, milliseconds(10));
+  }
+  RunFor(loop, milliseconds(100));
+  LONGS_EQUAL(2, replies.size());
+  CHECK(replies[0] == core::AttemptId{1} && replies[1] == core::AttemptId{2});
+}
+
 }  // namespace figlug::runtime
