--- a/wire/include/figlug/wire/impl/message_bytes.h
+++ b/wire/include/figlug/wire/impl/message_bytes.h
@@ -29,6 +29,12 @@
   return std::clamp(core::Duration(us), -kMaxSpan, kMaxSpan);
 }
 
+/// \brief The text as a field. A conversion by Cap'n Proto would end it at its
+/// first zero byte.
+inline capnp::Text::Reader AsText(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
+
 /// \brief Serializes a message.
 inline std::string ToBytes(capnp::MessageBuilder& message) {
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -30,8 +30,8 @@
 
 void Write(capnp::List<schema::Header>::Builder out, const Headers& headers) {
   for (unsigned i = 0; i < out.size(); ++i) {
-    out[i].setName(headers[i].m_name);
-    out[i].setValue(headers[i].m_value);
+    out[i].setName(impl::AsText(headers[i].m_name));
+    out[i].setValue(impl::AsText(headers[i].m_value));
   }
 }
 
@@ -69,7 +69,7 @@
       update.m_configuration.size()));
   auto domains = out.initDomainsOut(Size(update.m_excluded_domains));
   for (unsigned i = 0; i < domains.size(); ++i) {
-    domains.set(i, update.m_excluded_domains[i]);
+    domains.set(i, impl::AsText(update.m_excluded_domains[i]));
   }
 }
 
@@ -98,7 +98,7 @@
         Write(ids[j++], id);
       }
       if (!slice.m_handover.empty()) {
-        slices[i].setHandover(slice.m_handover);
+        slices[i].setHandover(impl::AsText(slice.m_handover));
       }
       slices[i].setWasExclusive(slice.m_was_exclusive);
     }
@@ -196,7 +196,7 @@
     auto out = m_out.initAttempt();
     out.setAttempt(static_cast<std::uint64_t>(frame.m_attempt));
     auto head = out.initHead();
-    head.setService(frame.m_head.m_service);
+    head.setService(impl::AsText(frame.m_head.m_service));
     head.setSlice(frame.m_head.m_slice);
     Write(head.initRequestId(), frame.m_head.m_request_id);
     head.setHasCallerId(frame.m_head.m_has_caller_id);
@@ -205,8 +205,8 @@
     head.setPatienceUs(frame.m_head.m_max_queue_wait.count());
     head.setTargetLatencyUs(frame.m_head.m_target_latency.count());
     head.setTargetLatencyLeftUs(frame.m_head.m_target_latency_left.count());
-    out.setMethod(frame.m_request.m_method);
-    out.setPath(frame.m_request.m_path);
+    out.setMethod(impl::AsText(frame.m_request.m_method));
+    out.setPath(impl::AsText(frame.m_request.m_path));
     Write(out.initHeaders(Size(frame.m_request.m_headers)),
           frame.m_request.m_headers);
   }
--- a/wire/src/log_codec.cc
+++ b/wire/src/log_codec.cc
@@ -59,7 +59,7 @@
 }
 
 void Write(schema::Endpoint::Builder out, const core::Endpoint& endpoint) {
-  out.setHost(endpoint.m_host);
+  out.setHost(impl::AsText(endpoint.m_host));
   out.setPort(endpoint.m_port);
 }
 
@@ -69,11 +69,11 @@
 
 void Write(schema::MemberInfo::Builder out, const core::MemberInfo& info) {
   out.setId(Raw(info.m_id));
-  out.setService(info.m_service);
-  out.setProfile(info.m_profile);
-  out.setTarget(info.m_target);
-  out.setRegion(info.m_region);
-  out.setDomain(info.m_domain);
+  out.setService(impl::AsText(info.m_service));
+  out.setProfile(impl::AsText(info.m_profile));
+  out.setTarget(impl::AsText(info.m_target));
+  out.setRegion(impl::AsText(info.m_region));
+  out.setDomain(impl::AsText(info.m_domain));
   Write(out.initPeer(), info.m_peer);
   Write(out.initHttp(), info.m_http);
   out.setTargetBornMs(info.m_target_start_ms);
@@ -96,10 +96,10 @@
 }
 
 void Write(schema::Profile::Builder out, const core::Profile& profile) {
-  out.setName(profile.m_name);
+  out.setName(impl::AsText(profile.m_name));
   auto regions = out.initHomeRegions(Size(profile.m_home_regions));
   for (unsigned i = 0; i < regions.size(); ++i) {
-    regions.set(i, profile.m_home_regions[i]);
+    regions.set(i, impl::AsText(profile.m_home_regions[i]));
   }
   out.setKeyed(profile.m_keyed);
   out.setRepeatable(profile.m_repeatable);
@@ -215,8 +215,8 @@
   i = 0;
   for (const auto& [name, service] : state.services()) {
     auto entry = services[i++];
-    entry.setName(name);
-    entry.setProfile(service.m_profile);
+    entry.setName(impl::AsText(name));
+    entry.setProfile(impl::AsText(service.m_profile));
     const std::vector<RepeatedSlice> encoded =
         RunLengthEncode(service.m_slices);
     auto slices = entry.initSlices(Size(encoded));
@@ -236,7 +236,7 @@
   i = 0;
   for (const auto& [kind, name] : state.exclusions()) {
     exclusions[i].setKind(static_cast<std::uint8_t>(kind));
-    exclusions[i++].setName(name);
+    exclusions[i++].setName(impl::AsText(name));
   }
   out.setExclusionsVersion(state.exclusions_version());
   auto removed = out.initGoneWatchers(Size(state.removed_watchers()));
@@ -247,7 +247,7 @@
   auto departed = out.initDepartedTargets(Size(state.departed_targets()));
   i = 0;
   for (const auto& [id, start_ms] : state.departed_targets()) {
-    departed[i].setId(id);
+    departed[i].setId(impl::AsText(id));
     departed[i++].setStartMs(start_ms);
   }
   auto appends = out.initRecentAppends(Size(state.recent_appends()));
@@ -365,7 +365,7 @@
   void operator()(const core::ExclusionRecord& record) {
     auto exclusion = m_out.initExclusion();
     exclusion.setKind(static_cast<std::uint8_t>(record.m_kind));
-    exclusion.setName(record.m_name);
+    exclusion.setName(impl::AsText(record.m_name));
     exclusion.setOut(record.m_out);
     exclusion.setExpectedVersion(record.m_expected_version);
   }
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -140,6 +140,25 @@
   STRCMP_EQUAL("body", attempt.m_request.m_body.c_str());
 }
 
+// Guards against handover tokens that end at their first zero byte when they
+// are sent or recorded.
+TEST(Codec, TextsKeepZeroBytes) {
+  using namespace std::string_literals;
+  const std::string text = "\0a\0b"s;
+  const core::Release release{core::MemberId{3}, 9, {{1, 8, {}, text, true}}};
+  const auto frame = ParseFrame(
+      EncodeFrameHead(core::PeerMessage(release)).substr(kFramePrefixBytes),
+      "");
+  CHECK(frame.has_value());
+  const auto& read =
+      std::get<core::Release>(std::get<core::PeerMessage>(*frame));
+  CHECK(read.m_slices.front().m_handover == text);
+  const auto entry = ParseRecord(
+      1,
+      EncodeRecord(core::AppendId{1}, core::ExclusionRecord{.m_name = text}));
+  CHECK(std::get<core::ExclusionRecord>(entry.m_record).m_name == text);
+}
+
 TEST(Codec, ReleaseKeepsItsRequestIds) {
   core::Release release{core::MemberId{3}, 44, {}};
   release.m_slices.push_back(
