--- a/wire/tests/response_reader_test.cc
+++ b/wire/tests/response_reader_test.cc
@@ -157,6 +157,39 @@
   }
 }
 
+// Guards against a head without end whose parts end where a line begins, or a
+// few bytes later.
+TEST(ResponseReader, AHeadIsBoundedHoweverItArrives) {
+  const std::string line = "X-Filler: x\r\n";
+  for (std::size_t begin = 0; begin <= line.size(); ++begin) {
+    ResponseReader reader(kLimits, false);
+    std::string pending = "HTTP/1.1 200 OK\r\n" + line.substr(0, begin);
+    std::size_t arrived = pending.size();
+    bool is_rejected = false;
+    while (!is_rejected && arrived < 4 * kLimits.m_head_bytes) {
+      const auto used = reader.Read(pending);
+      is_rejected = !used;
+      pending.erase(0, used.value_or(0));
+      pending += line.substr(begin) + line.substr(0, begin);
+      arrived += line.size();
+    }
+    CHECK(is_rejected);
+  }
+}
+
+// Guards against a limit that depends on how the line that begins a chunk
+// arrives.
+TEST(ResponseReader, AChunkLineIsBoundedHoweverItArrives) {
+  const std::string form =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
+      std::string(kLimits.m_head_bytes, 'x') + "\r\no\r\n0\r\n\r\n";
+  for (const std::size_t piece : {std::size_t{7}, form.size()}) {
+    const Reading reading = ReadAll(form, piece);
+    CHECK_FALSE(reading.m_result.has_value());
+    CHECK(reading.m_result.error() == ResponseError::kTooLarge);
+  }
+}
+
 TEST(ResponseReader, AResponseToHeadHasNoBody) {
   const Reading reading = ReadAll(
       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nHTTP/1.1", 1000, true);
