--- a/wire/include/figlug/wire/impl/message_bytes.h
+++ b/wire/include/figlug/wire/impl/message_bytes.h
@@ -88,8 +88,15 @@
       kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
   std::memcpy(const_cast<capnp::word*>(words.begin()), bytes.data(),
               bytes.size());
+  // Lists whose elements take no bytes would otherwise be as long as their
+  // lengths say. Fields are read a few times at most.
+  constexpr std::uint64_t max_reads_per_word = 8;
+  constexpr std::uint64_t min_limit_words = 1024;
+  const capnp::ReaderOptions options{
+      .traversalLimitInWords =
+          std::max(min_limit_words, words.size() * max_reads_per_word)};
   try {
-    capnp::FlatArrayMessageReader reader(words);
+    capnp::FlatArrayMessageReader reader(words, options);
     return function(reader.getRoot<Root>());
   } catch (const kj::Exception& error) {
     return tl::unexpected(WireError{error.getDescription().cStr()});
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -198,6 +198,16 @@
 
 // Guards against sums of a time from a message and the present time that exceed
 // the range of the clock.
+// Guards against a page of 56 bytes that takes 160 MB: its list claims four
+// million entries of no bytes each.
+TEST(Codec, AListIsNotLongerThanItsMessage) {
+  constexpr std::uint64_t words[] = {0x6'0000'0000, 0x1'0003'0000'0000, 0, 0, 0,
+                                     0x7'0000'0001, 0x100'0000};
+  const auto page =
+      ParseLogPage({reinterpret_cast<const char*>(words), sizeof(words)});
+  CHECK_FALSE(page.has_value());
+}
+
 TEST(Codec, TimesOutOfRangeAreBounded) {
   for (const core::Duration span :
        {core::Duration::max(), core::Duration::min()}) {
