--- a/tests/fuzz/response.cc
+++ b/tests/fuzz/response.cc
@@ -101,7 +101,7 @@
   }
 }
 
-/// Whether the body is as long as the framing says.
+/// Whether the body is as long as the framing says, and follows all fields.
 bool IsFramed(const HttpResponse& response,
               std::string_view used,
               bool is_head) {
@@ -124,8 +124,12 @@
   // Interim responses have heads of their own.
   for (std::size_t at = used.find(kHeadEnd); at != std::string_view::npos;
        at = used.find(kHeadEnd, at + 1)) {
+    const std::string_view head = used.substr(0, at);
     if (Unchunk(used.substr(at + kHeadEnd.size())) == response.m_body) {
-      return true;
+      return std::ranges::all_of(
+          response.m_headers, [&](const wire::Header& header) {
+            return head.find(header.m_name) != std::string_view::npos;
+          });
     }
   }
   return false;
