Bound a response's head however its lines arrive

A target that sent header lines without end, each in a packet of its own, was read until its memory was used up: the parser's limit holds for what it is given at once. The reader counts what it has taken for a head or for the line of a chunk.

--- a/wire/src/response_reader.cc
+++ b/wire/src/response_reader.cc
@@ -64,7 +64,7 @@
 class ResponseReader::Parser : public http::basic_parser<false> {
  public:
   Parser(const ResponseLimits& limits, bool is_head_request) {
-    eager(true);
+    eager(false);
     header_limit(static_cast<std::uint32_t>(limits.m_head_bytes));
     body_limit(limits.m_body_bytes);
     skip(is_head_request);
@@ -151,6 +151,8 @@
   ResponseLimits m_limits;
   bool m_is_head_request = false;
   int m_interim_responses = 0;
+  /// Bytes of the present head, chunk line or trailer that have been read.
+  std::size_t m_framing_bytes = 0;
   bool m_is_complete = false;
   /// Replaced after an interim response.
   std::optional<Parser> m_parser;
@@ -174,8 +176,16 @@
   while (!state.m_is_complete && used < bytes.size()) {
     const std::string_view rest = bytes.substr(used);
     error_code error;
-    used += state.m_parser->put(
+    const bool is_head = !state.m_parser->is_header_done();
+    const std::size_t body_bytes = this->body_bytes();
+    const std::size_t read = state.m_parser->put(
         boost::asio::const_buffer(rest.data(), rest.size()), error);
+    used += read;
+    const std::size_t framing = read - (this->body_bytes() - body_bytes);
+    state.m_framing_bytes = is_head ? state.m_framing_bytes + framing : framing;
+    if (state.m_framing_bytes > state.m_limits.m_head_bytes) {
+      return tl::unexpected(ResponseError::kTooLarge);
+    }
     if (error == http::error::need_more) {
       break;
     }
@@ -191,6 +201,7 @@
       return tl::unexpected(ResponseError::kMalformed);
     } else {
       state.m_parser.emplace(state.m_limits, state.m_is_head_request);
+      state.m_framing_bytes = 0;
     }
   }
   // The parser bounds heads and bodies, but not the line that begins a chunk.
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -196,8 +196,6 @@
       ParseRecord(0, record).m_record));
 }
 
-// Guards against sums of a time from a message and the present time that exceed
-// the range of the clock.
 // Guards against a page of 56 bytes that takes 160 MB: its list claims four
 // million entries of no bytes each.
 TEST(Codec, AListIsNotLongerThanItsMessage) {
@@ -208,6 +206,8 @@
   CHECK_FALSE(page.has_value());
 }
 
+// Guards against sums of a time from a message and the present time that exceed
+// the range of the clock.
 TEST(Codec, TimesOutOfRangeAreBounded) {
   for (const core::Duration span :
        {core::Duration::max(), core::Duration::min()}) {
