Reject a status line in a trailer, and codings in HTTP/1.0

A trailer that was cut off swallowed the head of the next response, and a chunked body in HTTP/1.0, whose framing the version does not know, was read as one. AChunkedBodyEndsWhereItSays failed before.

--- a/wire/src/response_reader.cc
+++ b/wire/src/response_reader.cc
@@ -25,6 +25,8 @@
 constexpr int kSwitchingProtocols = 101;
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
+/// HTTP/1.1, as the parser writes versions.
+constexpr int kFirstVersionWithCodings = 11;
 /// Interim responses that are passed over before one final response.
 constexpr int kMaxInterimResponses = 8;
 
@@ -83,8 +85,9 @@
 
   void on_response_impl(int status,
                         View reason,
-                        int,
+                        int version,
                         error_code& error) override {
+    m_version = version;
     if (status < kMinStatus || status > kMaxStatus ||
         status == kSwitchingProtocols || ContainsStatusLine(ToView(reason))) {
       error = http::error::bad_status;
@@ -97,11 +100,10 @@
                      View name_text,
                      View value,
                      error_code& error) override {
-    if (is_header_done()) {
-      return;
-    }
     if (ContainsStatusLine(ToView(value))) {
       error = http::error::bad_value;
+    }
+    if (error || is_header_done()) {
       return;
     }
     const bool is_framing = name == http::field::content_length ||
@@ -115,11 +117,12 @@
         {std::string(ToView(name_text)), std::string(ToView(value))});
   }
 
-  // Another transfer coding would be passed on as the body.
+  // Another transfer coding would be passed on as the body. HTTP/1.0 has none.
   void on_header_impl(error_code& error) override {
     const std::string* coding =
         FindHeader(m_response.m_headers, "Transfer-Encoding");
-    if (coding != nullptr && !boost::beast::iequals(*coding, "chunked")) {
+    if (coding != nullptr && (m_version < kFirstVersionWithCodings ||
+                              !boost::beast::iequals(*coding, "chunked"))) {
       error = http::error::bad_transfer_encoding;
     }
   }
@@ -143,6 +146,7 @@
   void on_finish_impl(error_code&) override {}
 
   HttpResponse m_response;
+  int m_version = 0;
   /// One field at most says where the body ends.
   bool m_is_framed = false;
 };
--- a/wire/tests/response_reader_test.cc
+++ b/wire/tests/response_reader_test.cc
@@ -76,9 +76,8 @@
 
 // Guards against a status that is read as another one: 65736 as 200.
 TEST(ResponseReader, AStatusIsThreeDigits) {
-  for (const char* status :
-       {"65736", "2000", "20", "+200", "-200", "0x200", "099", "600", "101",
-        "200abc", "OK", ""}) {
+  for (const char* status : {"65736", "2000", "20", "+200", "-200", "0x200",
+                             "099", "600", "101", "200abc", "OK", ""}) {
     const Reading reading =
         ReadAll(WithHead("HTTP/1.1 " + std::string(status) + " OK"));
     CHECK_FALSE(reading.m_result.has_value());
@@ -107,8 +106,8 @@
         "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
         "Transfer-Encoding: chunked, gzip", "no colon here", "X-Id : 7",
         ": 7"}) {
-    const Reading reading = ReadAll("HTTP/1.1 200 OK\r\n" +
-                                    std::string(fields) + "\r\n\r\nok");
+    const Reading reading =
+        ReadAll("HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\n\r\nok");
     CHECK_FALSE(reading.m_result.has_value());
   }
   for (const char* chunks :
@@ -121,6 +120,20 @@
   }
 }
 
+// Guards against a trailer that swallows the head of the next response, and a
+// body whose coding its version does not know.
+TEST(ResponseReader, AChunkedBodyEndsWhereItSays) {
+  for (const char* form :
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+        "X-Cut: oHTTP/1.1 500 Error\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+    const Reading reading = ReadAll(form);
+    CHECK_FALSE(reading.m_result.has_value());
+    CHECK(reading.m_result.error() == ResponseError::kMalformed);
+  }
+}
+
 // Guards against an empty success where the body ends with the connection.
 TEST(ResponseReader, ABodyWithoutALengthEndsWithTheConnection) {
   for (const char* field : {"Connection: keep-alive", "Connection: close",
@@ -148,8 +161,7 @@
        {"HTTP/1.1 200 OK\r\nX-Filler: " + filler,
         "HTTP/1.1 200 OK\r\nContent-Length: 2048\r\n\r\n" + filler,
         "HTTP/1.1 200 OK\r\n\r\n" + filler,
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" +
-            filler,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + filler,
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + filler}) {
     const Reading reading = ReadAll(form);
     CHECK_FALSE(reading.m_result.has_value());
