Test what libevhtp reads of bodies in chunks and of broken heads

Failing tests; no fix. Sizes of chunks that cannot be read, extensions and trailers, zero bytes in a head, an empty line before a request, and heads that end the connection without an answer. libevhtp's parser shows its callbacks none of these bytes.

--- a/runtime/tests/http_framing_test.cc
+++ b/runtime/tests/http_framing_test.cc
@@ -305,4 +305,76 @@
   CHECK(!exchange.is_closed());
 }
 
+// Guards against callers that wait for nothing until their deadline, and
+// against a body that ends elsewhere than its caller meant.
+TEST(HttpFraming, ChunkSizesThatCannotBeReadAreRejected) {
+  for (const std::string_view size :
+       {"3g", "0x3", "+3", "-3", " 3", "3 3", "", "10000000000000003"}) {
+    CheckRejected(Post("Transfer-Encoding: chunked\r\n",
+                       std::string(size) + "\r\nabc\r\n0\r\n\r\n"));
+  }
+}
+
+// Guards against callers that wait for nothing until their deadline, and
+// against requests that are lost behind the body.
+TEST(HttpFraming, ChunkExtensionsAndTrailersAreReadOver) {
+  const std::array<std::string_view, 3> bodies = {
+      "3;x=y\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0;x=y\r\n\r\n",
+      "3\r\nabc\r\n0\r\nX-T: 1\r\n\r\n"};
+  for (const std::string_view body : bodies) {
+    Exchange exchange;
+    exchange.Send(Post("Transfer-Encoding: chunked\r\n", body) + Get("/next"));
+    CHECK_TEXT(exchange.WaitForAnswers(2), std::string(body).c_str());
+    STRCMP_EQUAL("abc", exchange.requests()[0].m_body.c_str());
+    STRCMP_EQUAL("/next", exchange.requests()[1].m_path.c_str());
+  }
+}
+
+// Guards against targets that run a request with a path or header field that is
+// cut off at a zero byte.
+TEST(HttpFraming, AZeroByteInAHeadIsRejected) {
+  using std::string_literals::operator""s;
+  for (const std::string& head :
+       {"GET /a\0b HTTP/1.1\r\nHost: a\r\n\r\n"s,
+        "GET /a?x=1\0b HTTP/1.1\r\nHost: a\r\n\r\n"s,
+        "GET /a HTTP/1.1\r\nHost: a\r\nX-A: b\0c\r\n\r\n"s,
+        "GET /a HTTP/1.1\r\nHost: a\r\nX-\0A: b\r\n\r\n"s}) {
+    CheckRejected(head);
+  }
+}
+
+// Guards against a request that is never answered behind an empty line, which
+// some clients send after a body.
+TEST(HttpFraming, AnEmptyLineBeforeARequestIsReadOver) {
+  for (const std::string& before :
+       {std::string("\r\n"), Post("Content-Length: 3\r\n", "abc\r\n")}) {
+    Exchange exchange;
+    exchange.Send(before + Get("/next"));
+    CHECK_TEXT(exchange.WaitForAnswers(before.size() > 2 ? 2 : 1),
+               before.c_str());
+  }
+}
+
+// Guards against callers that see their connection closed without an answer, as
+// if a process had ended.
+TEST(HttpFraming, AHeadThatCannotBeReadIsAnswered) {
+  const std::array<std::string_view, 8> heads = {
+      "GET /1 HTTP/1.1\nHost: a\n\n",
+      "GET /1 HTTP/1.1\r\nHost: a\nX-A: b\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\r\nX-A: b\rX-B: c\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\r\nX-A: b\r\n c\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\r\nX-A\r\n\r\n",
+      "GET /1 HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n",
+      "GET /1 2 HTTP/1.1\r\nHost: a\r\n\r\n",
+      "GET order HTTP/1.1\r\nHost: a\r\n\r\n"};
+  for (const std::string_view head : heads) {
+    CheckRejected(head);
+  }
+  for (const std::string_view length :
+       {"3x", "+3", "-1", "0x3", "3, 3", "18446744073709551619"}) {
+    CheckRejected(
+        Post("Content-Length: " + std::string(length) + "\r\n", "abc"));
+  }
+}
+
 }  // namespace figlug::runtime
