--- a/wire/tests/response_reader_test.cc
+++ b/wire/tests/response_reader_test.cc
@@ -105,7 +105,7 @@
         "Content-Length: 2\r\nTransfer-Encoding: chunked",
         "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked",
         "Transfer-Encoding: chunked, gzip", "no colon here", "X-Id : 7",
-        ": 7"}) {
+        "X-Id: 7\r\n 8", "X-Id: 7\r\n\t8", ": 7"}) {
     const Reading reading =
         ReadAll("HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\n\r\nok");
     CHECK_FALSE(reading.m_result.has_value());
