Close the gaps that the review of the HTTP client found

Each shown by the review on scratch programs: - A response without a length counted as whole if its connection was reset while a part of the request still waited (AResetCompletesNoAnswer). - A request that was written in the iteration in which its time ended counted as not sent, which is a promise (ARequestThatWasWrittenCountsAsSent). - Under load retired connections were not freed, as each new one postponed it; their servers now learn of the end at once, too. - A body that was cut off and completed by the head of the next response was whole by its length; it is rejected where bytes follow it. - A connection that has carried HEAD is not used again: a late copy of its answer has a length but no body. - The log's problem was left-over for each event without an error. A folded value is rejected, since readers disagree on it.

--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -576,8 +576,8 @@
       {{"request", it == m_work.end()
                        ? std::string_view()
                        : m_dialect.RequestIdOf(*it->second.m_request)},
-       {"problem", trace.m_error ? ToString(*trace.m_error)
-                                 : std::string_view("left-over")},
+       {"problem",
+        trace.m_error ? ToString(*trace.m_error) : ToString(trace.m_kind)},
        {"connection", trace.m_connection},
        {"exchange", trace.m_exchange},
        {"status", response == nullptr ? 0 : response->m_status},
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -229,7 +229,9 @@
     /// Place among the connections of the client, from 1.
     std::uint64_t m_number = 0;
     std::uint64_t m_exchanges = 0;
-    bool m_is_connected = false;
+    /// Whether bytes of a request have left this process. The connection may
+    /// be established before libevent says so.
+    bool m_has_sent = false;
     /// The call that uses the connection, or null.
     Call* m_call = nullptr;
     /// Hashes of the ids that it has carried.
@@ -356,8 +358,12 @@
     return *slot;
   }
 
-  static void OnOutput(evbuffer* output, const evbuffer_cb_info*, void* arg) {
-    Call* call = static_cast<Connection*>(arg)->m_call;
+  static void OnOutput(evbuffer* output,
+                       const evbuffer_cb_info* change,
+                       void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    connection->m_has_sent |= change->n_deleted > 0;
+    Call* call = connection->m_call;
     if (call != nullptr && call->m_unsent) {
       call->m_unsent->Set(evbuffer_get_length(output));
     }
@@ -389,7 +395,10 @@
     auto* connection = static_cast<Connection*>(arg);
     Impl* impl = connection->m_impl;
     if (connection->m_call == nullptr) {
-      impl->Trace(*connection, {.m_kind = UncleanKind::kUnasked});
+      impl->Trace(
+          *connection,
+          {.m_kind = UncleanKind::kUnasked,
+           .m_left_over = evbuffer_get_length(bufferevent_get_input(stream))});
       impl->OnIdleClosed(*connection);
       return;
     }
@@ -439,7 +448,6 @@
       const int on = 1;
       setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on,
                  sizeof(on));
-      connection->m_is_connected = true;
       return;
     }
     Call* call = connection->m_call;
@@ -447,12 +455,13 @@
       impl->OnIdleClosed(*connection);
       return;
     }
-    if (!connection->m_is_connected) {
+    if (!connection->m_has_sent) {
       impl->Fail(*call, HttpClientError::kNotSent);
       return;
     }
     // A connection that was reset does not complete a response.
-    const bool is_end = (events & BEV_EVENT_EOF) != 0;
+    const bool is_end =
+        (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == BEV_EVENT_EOF;
     if (is_end && call->m_reader->End()) {
       impl->Deliver(*call, false);
     } else {
@@ -470,14 +479,19 @@
       Fail(call, HttpClientError::kMismatchedResponse, &response);
       return;
     }
+    if (left_over > 0 && wire::ContainsStatusLine(response.m_body)) {
+      Fail(call, HttpClientError::kMalformedResponse, &response);
+      return;
+    }
     if (left_over > 0) {
       Trace(connection, {.m_kind = UncleanKind::kLeftOver,
                          .m_left_over = left_over,
                          .m_response = &response});
     }
-    // The server would take the next request for the rest of this one's body.
+    // The server would take the next request for the rest of this one's body,
+    // and a late copy of an answer to HEAD has a length but no body.
     const bool is_written = evbuffer_get_length(OutputOf(connection)) == 0;
-    if (keeps_connection && left_over == 0 && is_written &&
+    if (keeps_connection && left_over == 0 && is_written && !call.m_is_head &&
         call.m_foreign_responses == 0) {
       KeepIdle(connection, response);
     } else {
@@ -508,7 +522,7 @@
 
   void OnDeadline(HttpCallId id) {
     Call& call = m_calls.at(id);
-    if (call.m_connection == nullptr || !call.m_connection->m_is_connected) {
+    if (call.m_connection == nullptr || !call.m_connection->m_has_sent) {
       Fail(call, HttpClientError::kNotSent);
       return;
     }
@@ -569,15 +583,19 @@
   }
 
   // libevent may still be in a callback of the connection, so freeing it is
-  // deferred to the next iteration of the loop.
+  // deferred to the next iteration of the loop; the server learns of the end at
+  // once. Setting the timer again would postpone it.
   void Retire(Connection& connection) {
     connection.m_call = nullptr;
     bufferevent_disable(connection.m_stream, EV_READ | EV_WRITE);
     bufferevent_setcb(connection.m_stream, nullptr, nullptr, nullptr, nullptr);
     const auto it = m_connections.find(connection.m_number);
+    shutdown(bufferevent_getfd(connection.m_stream), SHUT_RDWR);
+    if (m_retired.empty()) {
+      m_free_retired.Set(core::Duration::zero());
+    }
     m_retired.push_back(std::move(it->second));
     m_connections.erase(it);
-    m_free_retired.Set(core::Duration::zero());
   }
 
   // Ends a call without its callback.
--- a/runtime/tests/http_client_test.cc
+++ b/runtime/tests/http_client_test.cc
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -184,6 +185,14 @@
   AnsweringServer& operator=(const AnsweringServer&) = delete;
 
   [[nodiscard]] std::size_t connections() const { return m_streams.size(); }
+  /// \brief Resets the newest connection.
+  void Reset() {
+    const linger at_once{1, 0};
+    setsockopt(bufferevent_getfd(m_streams.back()->m_stream), SOL_SOCKET,
+               SO_LINGER, &at_once, sizeof(at_once));
+    bufferevent_free(m_streams.back()->m_stream);
+    m_streams.pop_back();
+  }
   /// \brief Writes bytes that nobody asked for on the newest connection.
   void WriteUnasked(const std::string& bytes) {
     LONGS_EQUAL(bytes.size(),
@@ -458,6 +467,44 @@
   LONGS_EQUAL(2, server.connections());
 }
 
+// Guards against an answer that was reset on its way and counts as whole, while
+// a part of the request still waits to be written.
+TEST(HttpClient, AResetCompletesNoAnswer) {
+  EventLoop loop;
+  AnsweringServer server(loop, [](std::size_t, std::size_t request) {
+    return request > 1 ? std::string()
+                       : std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart");
+  });
+  HttpClient client(loop, kServerAddress, 1, kMaxBodyBytes);
+  Timer reset(loop, [&] { server.Reset(); });
+  reset.Set(milliseconds(100));
+  const HttpClient::Result result =
+      Ask(loop, client, "1", std::string(64U << 20, 'x'));
+  CHECK_FALSE(result.has_value());
+  CHECK(result.error() == HttpClientError::kConnectionLost);
+}
+
+// Guards against a promise that a request was not sent, if it was written in
+// the iteration of the loop in which its time ended.
+TEST(HttpClient, ARequestThatWasWrittenCountsAsSent) {
+  constexpr core::Duration short_timeout = milliseconds(5);
+  EventLoop loop;
+  AnsweringServer server(
+      loop, [](std::size_t, std::size_t) { return std::string(); });
+  HttpClient client(loop, kServerAddress, 1, kMaxBodyBytes);
+  HttpClient::Result outcome;
+  client.Send({"GET", "/", {}, ""}, short_timeout,
+              [&](HttpClient::Result&& result) {
+                outcome = std::move(result);
+                loop.Stop();
+              });
+  // The loop stands still until the connection is there and the time is over.
+  usleep(30'000);
+  loop.Run();
+  CHECK_FALSE(outcome.has_value());
+  CHECK(outcome.error() == HttpClientError::kTimeout);
+}
+
 // Guards against a request that another one is smuggled into.
 TEST(HttpClient, ARequestThatCannotBeWrittenIsNotSent) {
   EventLoop loop;
--- a/wire/include/figlug/wire/response_reader.h
+++ b/wire/include/figlug/wire/response_reader.h
@@ -22,6 +22,10 @@
   kIncomplete,
 };
 
+/// \brief Whether a text contains the beginning of a status line, as it does if
+/// it was cut off and completed by the next response.
+[[nodiscard]] bool ContainsStatusLine(std::string_view text) noexcept;
+
 /// \brief Largest response that is read, in bytes.
 struct ResponseLimits {
   std::size_t m_head_bytes = 0;
--- a/wire/src/response_reader.cc
+++ b/wire/src/response_reader.cc
@@ -34,9 +34,26 @@
   return c >= '0' && c <= '9';
 }
 
+// Readers disagree on values that go on in the next line.
+bool ContainsFold(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
+ResponseError ToResponseError(const error_code& error) {
+  if (error == http::error::header_limit || error == http::error::body_limit ||
+      error == http::error::buffer_overflow) {
+    return ResponseError::kTooLarge;
+  }
+  return error == http::error::partial_message ? ResponseError::kIncomplete
+                                               : ResponseError::kMalformed;
+}
+
+}  // namespace
+
 // A head that is cut off in its reason phrase or in a value is completed by the
 // head of the next response, so that status and fields come from two responses.
-bool ContainsStatusLine(std::string_view text) {
+bool ContainsStatusLine(std::string_view text) noexcept {
   constexpr std::string_view protocol = "HTTP/";
   constexpr std::string_view shape = "0.0 000";
   for (std::size_t at = text.find(protocol); at != std::string_view::npos;
@@ -52,17 +69,6 @@
   return false;
 }
 
-ResponseError ToResponseError(const error_code& error) {
-  if (error == http::error::header_limit || error == http::error::body_limit ||
-      error == http::error::buffer_overflow) {
-    return ResponseError::kTooLarge;
-  }
-  return error == http::error::partial_message ? ResponseError::kIncomplete
-                                               : ResponseError::kMalformed;
-}
-
-}  // namespace
-
 class ResponseReader::Parser : public http::basic_parser<false> {
  public:
   Parser(const ResponseLimits& limits, bool is_head_request) {
@@ -185,6 +191,9 @@
     const std::size_t read = state.m_parser->put(
         boost::asio::const_buffer(rest.data(), rest.size()), error);
     used += read;
+    if (is_head && ContainsFold(rest.substr(0, read))) {
+      return tl::unexpected(ResponseError::kMalformed);
+    }
     const std::size_t framing = read - (this->body_bytes() - body_bytes);
     state.m_framing_bytes = is_head ? state.m_framing_bytes + framing : framing;
     if (state.m_framing_bytes > state.m_limits.m_head_bytes) {
