Retire a silent connection to a peer in place of closing it

A silent connection is retired: new attempts go to another one, and it stays open for replies until its last attempt has ended, its deadline has passed, or the peer has answered for 1 s on the newer connection and not on this one. The core decides which attempts go on elsewhere (Ingress::OnAttemptSilent). A cancellation follows its attempt on its own connection.

--- a/core/include/figlug/core/connection_liveness.h
+++ b/core/include/figlug/core/connection_liveness.h
@@ -9,12 +9,20 @@
 namespace figlug::core {
 
 /// \brief What to do with a connection whose peer has been silent.
-enum class LivenessAction : std::uint8_t { kNone, kProbe, kClose };
+enum class LivenessAction : std::uint8_t {
+  kNone,
+  kProbe,
+  /// Send nothing new on it, but wait for the responses that it owes.
+  kRetire,
+  kClose,
+};
 
 /// \brief Decides whether a connection to a peer still carries data.
 ///
-/// A connection may fall silent without an error. One that owes a response and
-/// receives nothing is probed first and then closed.
+/// A connection may fall silent without an error, or because its peer stands
+/// still. One that owes a response and receives nothing is probed first and
+/// then retired. It is closed when the peer has answered on a newer connection
+/// for a while, or when all that it owes has ended.
 ///
 /// \code
 /// liveness.OnSent(now);
@@ -27,7 +35,12 @@
   /// \brief Data was received.
   /// \param is_awaiting Whether the peer still owes a response.
   void OnReceived(Time now, bool is_awaiting);
-  /// \brief Decides what is due now. Each probe is returned once.
+  /// \brief An attempt was sent that the peer answers before `end`.
+  void OnAttemptSent(Time end);
+  /// \brief The peer answered on a newer connection.
+  void OnPeerAnsweredElsewhere(Time now);
+  /// \brief Decides what is due now. Each probe is returned once, and
+  /// retirement once in the life of the connection.
   [[nodiscard]] LivenessAction Review(Time now);
   /// \brief Whether something was sent since the last receipt, or the peer
   /// still owes a response.
@@ -41,6 +54,11 @@
  private:
   std::optional<Time> m_silent_since;
   bool m_is_probed = false;
+  bool m_is_retired = false;
+  /// Since when the peer has answered elsewhere, but not here.
+  std::optional<Time> m_answered_elsewhere;
+  /// When the last attempt that was sent has ended.
+  Time m_attempts_end = Time::min();
   Time m_reviewed_at{};
 };
 
--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -109,6 +109,13 @@
                     Reason reason,
                     const IngressView& view,
                     Actions& out);
+  /// \brief The connection of an open attempt has been silent, and its gate
+  /// may be standing still. Ends the attempt if the call can go on elsewhere;
+  /// otherwise the call waits for the reply.
+  void OnAttemptSilent(Time now,
+                       AttemptId attempt,
+                       const IngressView& view,
+                       Actions& out);
   /// \brief Handles the removal of a member; its open attempts end without an
   /// answer.
   void OnMemberRemoved(Time now,
@@ -195,6 +202,11 @@
             const Member& member,
             const IngressView& view,
             Actions& out);
+  /// \brief Whether a call whose only attempt may have run can be sent again.
+  [[nodiscard]] bool MayRepeat(Time now,
+                               const Call& call,
+                               const IngressView& view);
+  static void RecordFailure(Time now, TargetView& target);
   void RecordOutcome(Time now,
                      const Attempt& attempt,
                      const Call& call,
--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -221,6 +221,12 @@
                            ViewForIngress(), m_actions);
     Deliver(sink);
   }
+  /// \brief The connection of an open attempt has been silent.
+  template <ActionSink Sink>
+  void OnAttemptSilent(Now now, AttemptId attempt, Sink&& sink) {
+    m_ingress.OnAttemptSilent(now.m_time, attempt, ViewForIngress(), m_actions);
+    Deliver(sink);
+  }
   /// \brief Why a report cannot be of the target beside this process; empty if
   /// it can. Such a report has no effect.
   [[nodiscard]] std::string_view ForeignReportReason(
--- a/core/include/figlug/core/token_budget.h
+++ b/core/include/figlug/core/token_budget.h
@@ -18,10 +18,14 @@
   void Deposit(std::uint32_t percent) noexcept {
     m_hundredths = std::min(m_hundredths + percent, kMaxHundredths);
   }
+  /// \brief Whether a whole token is available.
+  [[nodiscard]] bool has_token() const noexcept {
+    return m_hundredths >= kOneToken;
+  }
   /// \brief Takes one whole token.
   /// \returns Whether a whole token was available.
   [[nodiscard]] bool Withdraw() noexcept {
-    if (m_hundredths < kOneToken) {
+    if (!has_token()) {
       return false;
     }
     m_hundredths -= kOneToken;
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -424,6 +424,45 @@
   }
 }
 
+// The reply may still come, so a call that could only fail waits for it. The
+// target counts as failing meanwhile, so that new calls avoid it.
+void Ingress::OnAttemptSilent(Time now,
+                              AttemptId id,
+                              const IngressView& view,
+                              Actions& out) {
+  const auto it = m_attempts.find(id);
+  if (it == m_attempts.end()) {
+    return;
+  }
+  const Call& call = m_calls.at(it->second.m_call);
+  if (call.m_open_attempts.size() == 1 && !MayRepeat(now, call, view)) {
+    TargetView& target = m_targets[it->second.m_member];
+    target.m_failure_ratio +=
+        kFailureSmoothingFactor * (1 - target.m_failure_ratio);
+    RecordFailure(now, target);
+    return;
+  }
+  out.emplace_back(CancelAttempt{id, it->second.m_to});
+  OnAttemptEnd(now, id, Outcome::kUnknown, Reason::kPeerLost, view, out);
+}
+
+bool Ingress::MayRepeat(Time now, const Call& call, const IngressView& view) {
+  const Profile& profile = ProfileOf(call.m_route, call.m_head, view);
+  if (!profile.m_repeatable || now >= call.m_deadline ||
+      now >= view.m_stop.m_no_attempts_from) {
+    return false;
+  }
+  const bool has_token =
+      m_services[call.m_head.m_service].m_retry_budget.has_token();
+  if (call.m_route != nullptr) {
+    return has_token &&
+           call.m_delivered_attempts + 1 < profile.m_max_attempts &&
+           Choose(now, call, view) != nullptr;
+  }
+  return now < call.m_started + profile.m_queue_wait ||
+         (has_token && call.m_attempts < profile.m_max_attempts);
+}
+
 // Passes a target's error response on, unless another target can be tried. The
 // response is kept in case no other target answers.
 void Ingress::HandleAnswered(Time now,
@@ -470,6 +509,13 @@
   }
 }
 
+void Ingress::RecordFailure(Time now, TargetView& target) {
+  if (++target.m_consecutive_failures >= kConsecutiveFailuresToEject) {
+    target.m_ejected_until = now + kEjectionTime;
+    target.m_consecutive_failures = 0;
+  }
+}
+
 void Ingress::RecordOutcome(Time now,
                             const Attempt& attempt,
                             const Call& call,
@@ -499,10 +545,7 @@
       (call.m_route != nullptr && !is_failure)) {
     return;
   }
-  if (++target.m_consecutive_failures >= kConsecutiveFailuresToEject) {
-    target.m_ejected_until = now + kEjectionTime;
-    target.m_consecutive_failures = 0;
-  }
+  RecordFailure(now, target);
 }
 
 void Ingress::HandleNotRun(Time now,
--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -130,6 +130,10 @@
   void EndAttempt(AttemptId attempt, Outcome outcome, Reason reason) {
     m_node.OnAttemptEnd(At(), attempt, outcome, reason, Sink());
   }
+  /// \brief The connection of an attempt of this node has been silent.
+  void Silence(AttemptId attempt) {
+    m_node.OnAttemptSilent(At(), attempt, Sink());
+  }
   /// \brief Delivers a datagram from another member.
   void Deliver(const Datagram& datagram) {
     m_node.OnDatagram(At(), datagram, Sink());
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -584,6 +584,78 @@
   self.node().OnPeerMessage(self.At(), OperatorUpdate{.m_next = 2}, sink);
 }
 
+// Guards against callers of a route that cannot be repeated that get 502 while
+// their target is at work, because the gate stood still for a moment.
+TEST(RoutedNode, ACallThatCannotBeRepeatedWaitsForASilentGate) {
+  RoutedNode self("catalogue");
+  self.Start();
+  self.Record(JoinRecord{RoutedNode::OtherMember(6, "orders"), {}});
+  self.Record(WeightRecord{MemberId{6}, kMaxWeight});
+  self.Record(JoinRecord{RoutedNode::OtherMember(7, "orders"), {}});
+  self.Record(WeightRecord{MemberId{7}, kMaxWeight});
+  self.ClearActions();
+  self.Call("/order/1");
+  const AttemptId attempt = self.ActionsOf<SendAttempt>().front().m_attempt;
+  self.ClearActions();
+  self.Silence(attempt);
+  CHECK(self.ActionsOf<FinishCall>().empty());
+  CHECK(self.ActionsOf<SendAttempt>().empty());
+  CHECK(self.ActionsOf<CancelAttempt>().empty());
+  self.EndAttempt(attempt, Outcome::kAnswered, Reason::kNone);
+  const auto ends = self.ActionsOf<FinishCall>();
+  CHECK(ends.size() == 1 && ends[0].m_outcome == Outcome::kAnswered);
+}
+
+// Its first attempt is cancelled, since nobody waits for it any more.
+TEST(RoutedNode, ACallThatCanBeRepeatedLeavesASilentGate) {
+  RoutedNode self("catalogue");
+  self.Start();
+  self.Record(JoinRecord{RoutedNode::OtherMember(6, "orders"), {}});
+  self.Record(WeightRecord{MemberId{6}, kMaxWeight});
+  self.Record(JoinRecord{RoutedNode::OtherMember(7, "orders"), {}});
+  self.Record(WeightRecord{MemberId{7}, kMaxWeight});
+  self.ClearActions();
+  self.Call("/long/1");
+  const SendAttempt first = self.ActionsOf<SendAttempt>().front();
+  self.ClearActions();
+  self.Silence(first.m_attempt);
+  const auto cancelled = self.ActionsOf<CancelAttempt>();
+  CHECK(cancelled.size() == 1 && cancelled[0].m_attempt == first.m_attempt);
+  const auto sent = self.ActionsOf<SendAttempt>();
+  CHECK(sent.size() == 1 && sent[0].m_member != first.m_member);
+  CHECK(self.ActionsOf<FinishCall>().empty());
+}
+
+// Guards against a call that a stopping process gives up because it may send no
+// more attempts, while the attempt that it sent can still be answered.
+TEST(RoutedNode, AStoppingProcessWaitsForASilentGate) {
+  RoutedNode self("catalogue");
+  self.Start();
+  self.Record(JoinRecord{RoutedNode::OtherMember(6, "orders"), {}});
+  self.Record(WeightRecord{MemberId{6}, kMaxWeight});
+  self.Record(JoinRecord{RoutedNode::OtherMember(7, "orders"), {}});
+  self.Record(WeightRecord{MemberId{7}, kMaxWeight});
+  self.node().OnStop(self.At(), [](Action&&) {});
+  self.ClearActions();
+  self.Call("/long/1");
+  const AttemptId attempt = self.ActionsOf<SendAttempt>().front().m_attempt;
+  self.Sleep(std::chrono::seconds(5));
+  self.Silence(attempt);
+  CHECK(self.ActionsOf<FinishCall>().empty());
+}
+
+// With no other target, the reply is all that a call can get.
+TEST(RoutedNode, ACallWithoutAnotherTargetWaitsForASilentGate) {
+  RoutedNode self("catalogue");
+  self.Start();
+  self.Record(JoinRecord{RoutedNode::OtherMember(6, "orders"), {}});
+  self.Record(WeightRecord{MemberId{6}, kMaxWeight});
+  self.ClearActions();
+  self.Call("/long/1");
+  self.Silence(self.ActionsOf<SendAttempt>().front().m_attempt);
+  CHECK(self.ActionsOf<FinishCall>().empty());
+}
+
 // Regression test, found in a benchmark: a process without a lease was removed
 // from the control state, and its callers got 502 although its target was still
 // working on their requests.
--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -137,6 +137,7 @@
   void OnFrame(PeerConnectionId from, wire::Frame&& frame);
   void OnReply(wire::ReplyFrame&& frame);
   void OnAttemptLost(core::AttemptId attempt, bool was_sent);
+  void OnAttemptSilent(core::AttemptId attempt);
   void OnPeerClosed(PeerConnectionId peer);
   void OnTargetDone(core::WorkId id, HttpClient::Result&& result);
   void OnHoldCallDone(core::HoldCallId id, HttpClient::Result&& result);
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -154,7 +154,8 @@
                [this](core::AttemptId attempt, bool was_sent) {
                  OnAttemptLost(attempt, was_sent);
                },
-               [this](PeerConnectionId peer) { OnPeerClosed(peer); }},
+               [this](PeerConnectionId peer) { OnPeerClosed(peer); },
+               [this](core::AttemptId attempt) { OnAttemptSilent(attempt); }},
               kInboundIdleTime,
               &m_buffers),
       m_datagrams(loop,
@@ -542,6 +543,13 @@
       was_sent ? core::Reason::kPeerLost : core::Reason::kPeerUnreachable, {});
 }
 
+template <LogService Log, Dialect DialectType>
+void Daemon<Log, DialectType>::OnAttemptSilent(core::AttemptId attempt) {
+  HandleEvent([&](core::Now now, auto& sink) {
+    m_node.OnAttemptSilent(now, attempt, sink);
+  });
+}
+
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::EndAttempt(core::AttemptId attempt,
                                           core::Outcome outcome,
@@ -666,7 +674,7 @@
   if (IsOwnGate(action.m_to)) {
     CancelWork(std::nullopt, action.m_attempt);
   } else {
-    m_peers.Send(action.m_to, wire::CancelFrame{action.m_attempt});
+    m_peers.Cancel(action.m_to, action.m_attempt);
   }
 }
 
--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -36,6 +36,9 @@
   std::function<void(core::AttemptId, bool was_sent)> m_on_lost;
   /// Called when a connection opened by a peer is closed.
   std::function<void(PeerConnectionId)> m_on_closed;
+  /// Called once for an attempt whose connection is silent. The reply may still
+  /// come; the receiver cancels the attempt if it does not wait for it.
+  std::function<void(core::AttemptId)> m_on_silent = [](core::AttemptId) {};
 };
 
 /// \brief Exchanges frames with other figlug processes over TCP, multiplexing
@@ -60,8 +63,12 @@
 
   [[nodiscard]] tl::expected<void, RuntimeError> Listen(
       const core::Endpoint& endpoint);
-  /// \brief Sends an attempt; either m_on_reply or m_on_lost follows.
+  /// \brief Sends an attempt; either m_on_reply or m_on_lost follows, unless
+  /// it is cancelled.
   void SendAttempt(const core::Endpoint& to, const wire::AttemptFrame& frame);
+  /// \brief Cancels an attempt, on the connection that it was sent on; ignored
+  /// if that connection is closed.
+  void Cancel(const core::Endpoint& to, core::AttemptId attempt);
   /// \brief Sends any other frame, without a delivery guarantee.
   void Send(const core::Endpoint& to, const wire::Frame& frame);
   /// \brief Sends a reply on the connection that its attempt came from; ignored
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <cstring>
 #include <map>
 #include <optional>
@@ -59,7 +60,7 @@
         m_handlers(std::move(handlers)),
         m_meter(meter),
         m_inbound_read_timeout(impl::ToTimeval(max_inbound_idle)),
-        m_free_retired(loop, [this] { m_retired.clear(); }),
+        m_free_closed(loop, [this] { m_closed.clear(); }),
         m_liveness_timer(loop, [this] { ReviewLiveness(); }),
         m_discard_timer(loop, [this] { CloseDiscarded(); }) {}
 
@@ -88,9 +89,31 @@
   void SendAttempt(const core::Endpoint& to, const wire::AttemptFrame& frame) {
     Connection& connection = Connect(to);
     connection.m_attempts.insert(frame.m_attempt);
+    connection.m_liveness.OnAttemptSent(ReadClocks().m_time +
+                                        frame.m_head.m_time_left);
     Write(connection, frame);
   }
 
+  // The peer knows an attempt by the connection that it came from.
+  void Cancel(const core::Endpoint& to, core::AttemptId attempt) {
+    const auto cancel = [&](Connection& connection) {
+      const bool is_open = connection.m_attempts.erase(attempt) > 0;
+      if (is_open) {
+        Write(connection, wire::CancelFrame{attempt});
+      }
+      return is_open;
+    };
+    const auto current = m_outbound.find(MakeKey(to));
+    if (current != m_outbound.end() && cancel(*current->second)) {
+      return;
+    }
+    for (const auto& connection : m_retired) {
+      if (cancel(*connection)) {
+        return;
+      }
+    }
+  }
+
   void Send(const core::Endpoint& to, const wire::Frame& frame) {
     Write(Connect(to), frame);
   }
@@ -113,6 +136,9 @@
     for (const auto& [key, connection] : m_outbound) {
       add(*connection);
     }
+    for (const auto& connection : m_retired) {
+      add(*connection);
+    }
     for (const auto& [id, connection] : m_inbound) {
       add(*connection);
     }
@@ -219,15 +245,18 @@
   // A frame cannot be dropped without the connection that it arrives on.
   void CloseDiscarded() {
     std::vector<Connection*> discarded;
-    const auto add = [&](const auto& connections) {
-      for (const auto& [key, connection] : connections) {
-        if (connection->m_is_discarded) {
-          discarded.push_back(connection.get());
-        }
+    const auto add = [&](const auto& connection) {
+      if (connection->m_is_discarded) {
+        discarded.push_back(connection.get());
       }
     };
-    add(m_outbound);
-    add(m_inbound);
+    for (const auto& [key, connection] : m_outbound) {
+      add(connection);
+    }
+    std::ranges::for_each(m_retired, add);
+    for (const auto& [id, connection] : m_inbound) {
+      add(connection);
+    }
     for (Connection* connection : discarded) {
       LOG4CPLUS_WARN(MemberLogger(),
                      "connection to a peer closed: its frame is too large for "
@@ -283,15 +312,10 @@
     m_is_reviewing_liveness = false;
     const core::Time now = ReadClocks().m_time;
     std::vector<Connection*> silent;
-    for (auto& [key, connection] : m_outbound) {
-      if (!connection->m_is_connected ||
-          !connection->m_liveness.is_outstanding()) {
-        continue;
-      }
-      StartLivenessTimer();
-      if (evbuffer_get_length(bufferevent_get_output(connection->m_stream)) >
-          0) {
-        continue;
+    std::vector<Connection*> ended;
+    const auto review = [&](const std::unique_ptr<Connection>& connection) {
+      if (!connection->m_is_connected || HasUnsent(*connection)) {
+        return;
       }
       switch (connection->m_liveness.Review(now)) {
         case core::LivenessAction::kNone:
@@ -299,20 +323,90 @@
         case core::LivenessAction::kProbe:
           Write(*connection, wire::ProbeFrame{});
           break;
-        case core::LivenessAction::kClose:
+        case core::LivenessAction::kRetire:
           silent.push_back(connection.get());
           break;
+        case core::LivenessAction::kClose:
+          ended.push_back(connection.get());
+          break;
+      }
+    };
+    for (const auto& [key, connection] : m_outbound) {
+      if (connection->m_is_connected &&
+          connection->m_liveness.is_outstanding()) {
+        StartLivenessTimer();
+        review(connection);
       }
     }
-    for (Connection* connection : silent) {
-      LOG4CPLUS_WARN(MemberLogger(), "connection to peer "
-                                         << connection->m_to.m_host << ":"
-                                         << connection->m_to.m_port
-                                         << " is silent; closing it with "
-                                         << connection->m_attempts.size()
-                                         << " attempts without a reply");
+    for (const auto& connection : m_retired) {
+      if (connection->m_attempts.empty() && !HasUnsent(*connection)) {
+        ended.push_back(connection.get());
+      } else {
+        review(connection);
+      }
+    }
+    for (Connection* connection : ended) {
+      if (!connection->m_attempts.empty()) {
+        LOG4CPLUS_WARN(MemberLogger(), "retired connection to peer "
+                                           << connection->m_to.m_host << ":"
+                                           << connection->m_to.m_port
+                                           << " closed with "
+                                           << connection->m_attempts.size()
+                                           << " attempts without a reply");
+      }
       Close(*connection);
     }
+    for (Connection* connection : silent) {
+      Retire(*connection);
+    }
+    ConnectAnew();
+  }
+
+  static bool HasUnsent(const Connection& connection) {
+    return evbuffer_get_length(bufferevent_get_output(connection.m_stream)) > 0;
+  }
+
+  // The connection gets no more frames but cancellations, and stays open for
+  // replies. It is closed by the next review if nobody waits for one.
+  void Retire(Connection& connection) {
+    LOG4CPLUS_WARN(MemberLogger(), "connection to peer "
+                                       << connection.m_to.m_host << ":"
+                                       << connection.m_to.m_port
+                                       << " is silent; retiring it with "
+                                       << connection.m_attempts.size()
+                                       << " attempts without a reply");
+    const auto it = m_outbound.find(MakeKey(connection.m_to));
+    m_retired.push_back(std::move(it->second));
+    m_outbound.erase(it);
+    for (core::AttemptId attempt : std::set(connection.m_attempts)) {
+      m_handlers.m_on_silent(attempt);
+    }
+  }
+
+  // Whether the peer answers on another connection shows which of the two has
+  // failed, the connection or the peer.
+  void ConnectAnew() {
+    for (const auto& retired : m_retired) {
+      StartLivenessTimer();
+      if (!retired->m_attempts.empty() &&
+          !m_outbound.contains(MakeKey(retired->m_to))) {
+        Write(Connect(retired->m_to), wire::ProbeFrame{});
+      }
+    }
+  }
+
+  void OnReceived(Connection& connection) {
+    const core::Time now = ReadClocks().m_time;
+    connection.m_liveness.OnReceived(now, !connection.m_attempts.empty());
+    const auto current = m_outbound.find(MakeKey(connection.m_to));
+    if (current == m_outbound.end() || current->second.get() != &connection) {
+      return;
+    }
+    for (const auto& retired : m_retired) {
+      if (MakeKey(retired->m_to) == current->first) {
+        retired->m_liveness.OnPeerAnsweredElsewhere(now);
+      }
+    }
   }
 
   static void OnReadable(bufferevent* stream, void* arg) {
@@ -329,8 +423,9 @@
       connection->m_impl->Close(*connection);
       return;
     }
-    connection->m_liveness.OnReceived(ReadClocks().m_time,
-                                      !connection->m_attempts.empty());
+    if (IsOutbound(*connection)) {
+      connection->m_impl->OnReceived(*connection);
+    }
   }
 
   // libevent reads a few KiB in each iteration of the loop. After a pause that
@@ -440,18 +535,25 @@
   void Close(Connection& connection) {
     bufferevent_disable(connection.m_stream, EV_READ | EV_WRITE);
     bufferevent_setcb(connection.m_stream, nullptr, nullptr, nullptr, nullptr);
-    m_free_retired.Set(core::Duration::zero());
+    m_free_closed.Set(core::Duration::zero());
     if (connection.m_id != PeerConnectionId{0}) {
       const PeerConnectionId id = connection.m_id;
       const auto it = m_inbound.find(id);
-      m_retired.push_back(std::move(it->second));
+      m_closed.push_back(std::move(it->second));
       m_inbound.erase(it);
       m_handlers.m_on_closed(id);
       return;
     }
     const auto it = m_outbound.find(MakeKey(connection.m_to));
-    m_retired.push_back(std::move(it->second));
-    m_outbound.erase(it);
+    if (it != m_outbound.end() && it->second.get() == &connection) {
+      m_closed.push_back(std::move(it->second));
+      m_outbound.erase(it);
+    } else {
+      const auto retired = std::ranges::find(m_retired, &connection,
+                                             &std::unique_ptr<Connection>::get);
+      m_closed.push_back(std::move(*retired));
+      m_retired.erase(retired);
+    }
     const bool was_sent = connection.m_is_connected;
     for (core::AttemptId attempt : std::exchange(connection.m_attempts, {})) {
       m_handlers.m_on_lost(attempt, was_sent);
@@ -468,8 +570,10 @@
   std::uint64_t m_bytes_sent = 0;
   std::map<Key, std::unique_ptr<Connection>> m_outbound;
   std::map<PeerConnectionId, std::unique_ptr<Connection>> m_inbound;
+  /// Silent connections of this process that still owe replies.
   std::vector<std::unique_ptr<Connection>> m_retired;
-  Timer m_free_retired;
+  std::vector<std::unique_ptr<Connection>> m_closed;
+  Timer m_free_closed;
   Timer m_liveness_timer;
   Timer m_discard_timer;
   bool m_is_reviewing_liveness = false;
@@ -496,6 +600,10 @@
   m_impl->SendAttempt(to, frame);
 }
 
+void PeerTransport::Cancel(const core::Endpoint& to, core::AttemptId attempt) {
+  m_impl->Cancel(to, attempt);
+}
+
 void PeerTransport::Send(const core::Endpoint& to, const wire::Frame& frame) {
   m_impl->Send(to, frame);
 }
