--- a/wire/src/response_reader.cc
+++ b/wire/src/response_reader.cc
@@ -5,7 +5,6 @@
 #include "figlug/wire/response_reader.h"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <string>
 #include <utility>
