Show what stands before a reply on its way to a peer

A target's answer and the end of its call lie 280 ms apart at some VMs, and no line said where the time goes. With log_level = debug each reply's line tells the bytes before it, in the process and in the system, on its own connection and on all; two gauges tell the sums. No change of logic.

--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -187,6 +187,7 @@
     return to == m_node.self().m_peer;
   }
   void ArmTimer();
+  void LogBacklog(core::Time now, const Work& work);
   void StopOnceWritten();
   [[nodiscard]] core::MemberId NewMemberId();
 
--- a/runtime/include/figlug/runtime/decision_log.h
+++ b/runtime/include/figlug/runtime/decision_log.h
@@ -28,6 +28,9 @@
   /// \param fields A JSON object with the inputs of the decision, their age or
   /// version, and the outcome.
   void Write(core::Time now, std::string_view event, nlohmann::json fields);
+  /// \brief Whether details of decisions are to be written as well, which the
+  /// log level debug asks for.
+  [[nodiscard]] static bool is_verbose();
   /// \brief Lines dropped by the rate limit since the start.
   [[nodiscard]] std::uint64_t omitted() const noexcept { return m_omitted; }
 
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -427,6 +427,7 @@
 template <LogService Log, Dialect DialectType>
 Gauges Daemon<Log, DialectType>::ReadGauges() const {
   const core::Time now = ReadClocks().m_time;
+  const PeerBacklog backlog = m_peers.BacklogOf(PeerConnectionId{0});
   return {
       {"lease_valid", m_node.HasLease(now) ? 1 : 0},
       {"serving", m_node.IsServing(now) ? 1 : 0},
@@ -452,6 +453,9 @@
       {"buffered_bytes", static_cast<double>(m_buffers.pool().used())},
       {"discarded_messages", static_cast<double>(m_buffers.pool().discarded())},
       {"peer_sent_bytes", static_cast<double>(m_peers.bytes_sent())},
+      {"peer_unsent_bytes", static_cast<double>(backlog.m_all_unsent)},
+      {"peer_unacknowledged_bytes",
+       static_cast<double>(backlog.m_all_unacknowledged)},
       {"log_lines_omitted", static_cast<double>(m_decisions.omitted())},
       {"log_lines_lost", static_cast<double>(LostLogLines())},
       {"heartbeat_bytes", static_cast<double>(m_datagrams.bytes())},
@@ -844,6 +848,7 @@
     work.m_response = {};
   }
   if (work.m_peer) {
+    LogBacklog(now.m_time, work);
     m_peers.Reply(*work.m_peer,
                   {work.m_attempt, action.m_outcome, action.m_reason,
                    std::move(work.m_response), action.m_load});
@@ -854,6 +859,22 @@
   }
 }
 
+// What a reply waits for behind its target is not part of `attempt-ended`.
+template <LogService Log, Dialect DialectType>
+void Daemon<Log, DialectType>::LogBacklog(core::Time now, const Work& work) {
+  if (!m_decisions.is_verbose()) {
+    return;
+  }
+  const PeerBacklog backlog = m_peers.BacklogOf(*work.m_peer);
+  m_decisions.Write(now, "reply-queued",
+                    {{"request", m_dialect.RequestIdOf(*work.m_request)},
+                     {"body_bytes", work.m_response.m_body.size()},
+                     {"unsent", backlog.m_unsent},
+                     {"unacknowledged", backlog.m_unacknowledged},
+                     {"all_unsent", backlog.m_all_unsent},
+                     {"all_unacknowledged", backlog.m_all_unacknowledged}});
+}
+
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::Perform(core::FinishCall&& action) {
   auto node = m_calls.extract(action.m_call);
--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -41,6 +41,18 @@
   std::function<void(core::AttemptId)> m_on_silent = [](core::AttemptId) {};
 };
 
+/// \brief Bytes on their way to peers.
+struct PeerBacklog {
+  /// Bytes of one connection that wait in this process.
+  std::size_t m_unsent = 0;
+  /// Bytes of that connection that the system holds until the peer's system
+  /// has acknowledged them.
+  std::size_t m_unacknowledged = 0;
+  /// The same for all connections together.
+  std::size_t m_all_unsent = 0;
+  std::size_t m_all_unacknowledged = 0;
+};
+
 /// \brief Exchanges frames with other figlug processes over TCP, multiplexing
 /// attempts on one connection per peer.
 ///
@@ -76,6 +88,9 @@
   void Reply(PeerConnectionId to, const wire::ReplyFrame& frame);
   /// \brief Bytes that wait to be written to connected peers.
   [[nodiscard]] std::size_t unsent_bytes() const;
+  /// \brief What stands before the next reply on a connection that a peer
+  /// opened. Asks the system about each connection.
+  [[nodiscard]] PeerBacklog BacklogOf(PeerConnectionId to) const;
   /// \brief Bytes sent to peers since the start.
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
 
--- a/runtime/src/decision_log.cc
+++ b/runtime/src/decision_log.cc
@@ -14,6 +14,10 @@
 
 }  // namespace
 
+bool DecisionLog::is_verbose() {
+  return DecisionLogger().isEnabledFor(log4cplus::DEBUG_LOG_LEVEL);
+}
+
 bool DecisionLog::TakeToken(core::Time now, TokenBucket& bucket) const {
   const double rate = m_lines_per_second;
   const double refill =
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -4,8 +4,10 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <cstring>
@@ -43,6 +45,17 @@
           length};
 }
 
+std::size_t UnsentBytes(bufferevent* stream) {
+  return evbuffer_get_length(bufferevent_get_output(stream));
+}
+
+std::size_t UnacknowledgedBytes(bufferevent* stream) {
+  int bytes = 0;
+  return ioctl(bufferevent_getfd(stream), SIOCOUTQ, &bytes) == 0
+             ? static_cast<std::size_t>(std::max(0, bytes))
+             : 0;
+}
+
 void EnableNoDelay(evutil_socket_t socket) {
   const int on = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -127,24 +140,28 @@
 
   std::size_t unsent_bytes() const {
     std::size_t bytes = 0;
-    const auto add = [&](const Connection& connection) {
-      if (connection.m_is_connected) {
-        bytes +=
-            evbuffer_get_length(bufferevent_get_output(connection.m_stream));
-      }
-    };
-    for (const auto& [key, connection] : m_outbound) {
-      add(*connection);
-    }
-    for (const auto& connection : m_retired) {
-      add(*connection);
-    }
-    for (const auto& [id, connection] : m_inbound) {
-      add(*connection);
-    }
+    ForEachConnected([&](const Connection& connection) {
+      bytes += UnsentBytes(connection.m_stream);
+    });
     return bytes;
   }
 
+  PeerBacklog BacklogOf(PeerConnectionId to) const {
+    PeerBacklog backlog;
+    ForEachConnected([&](const Connection& connection) {
+      const std::size_t unsent = UnsentBytes(connection.m_stream);
+      const std::size_t unacknowledged =
+          UnacknowledgedBytes(connection.m_stream);
+      backlog.m_all_unsent += unsent;
+      backlog.m_all_unacknowledged += unacknowledged;
+      if (!IsOutbound(connection) && connection.m_id == to) {
+        backlog.m_unsent = unsent;
+        backlog.m_unacknowledged = unacknowledged;
+      }
+    });
+    return backlog;
+  }
+
   std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
 
  private:
@@ -179,6 +196,22 @@
   };
   using Key = std::pair<std::string, std::uint16_t>;
 
+  template <class Function>
+  void ForEachConnected(Function&& function) const {
+    const auto visit = [&](const std::unique_ptr<Connection>& connection) {
+      if (connection->m_is_connected) {
+        function(*connection);
+      }
+    };
+    for (const auto& [key, connection] : m_outbound) {
+      visit(connection);
+    }
+    std::ranges::for_each(m_retired, visit);
+    for (const auto& [id, connection] : m_inbound) {
+      visit(connection);
+    }
+  }
+
   static Key MakeKey(const core::Endpoint& endpoint) {
     return {endpoint.m_host, endpoint.m_port};
   }
@@ -616,6 +649,10 @@
   return m_impl->unsent_bytes();
 }
 
+PeerBacklog PeerTransport::BacklogOf(PeerConnectionId to) const {
+  return m_impl->BacklogOf(to);
+}
+
 std::uint64_t PeerTransport::bytes_sent() const noexcept {
   return m_impl->bytes_sent();
 }
