--- a/wire/include/figlug/wire/frame.h
+++ b/wire/include/figlug/wire/frame.h
@@ -44,13 +44,33 @@
 /// \brief Answers a probe on the connection that it came from.
 struct ProbeReplyFrame {};
 
+/// \brief A part of a large frame, sent in turns with other frames. On the wire
+/// its bytes are the body.
+struct FragmentFrame {
+  /// Unique among the transfers of one direction of a connection.
+  std::uint64_t m_transfer = 0;
+  bool m_is_last = false;
+  std::string m_bytes;
+};
+
+/// \brief Acknowledges the oldest fragment that has not been acknowledged.
+struct FragmentAckFrame {};
+
+/// \brief Says that the rest of a transfer will not be sent.
+struct FragmentAbortFrame {
+  std::uint64_t m_transfer = 0;
+};
+
 /// \brief Any message on a stream connection between peers.
 using Frame = std::variant<AttemptFrame,
                            ReplyFrame,
                            CancelFrame,
                            core::PeerMessage,
                            ProbeFrame,
-                           ProbeReplyFrame>;
+                           ProbeReplyFrame,
+                           FragmentFrame,
+                           FragmentAckFrame,
+                           FragmentAbortFrame>;
 
 /// \brief Size of the prefix of each frame: the lengths of its head and body as
 /// two 32-bit big-endian numbers.
@@ -79,7 +99,8 @@
 /// out += BodyOf(frame);
 /// \endcode
 [[nodiscard]] std::string EncodeFrameHead(const Frame& frame);
-/// \brief The body of a frame; empty unless it is an attempt or a reply.
+/// \brief The body of a frame; empty unless it is an attempt, a reply or a
+/// fragment.
 [[nodiscard]] std::string_view BodyOf(const Frame& frame) noexcept;
 /// \brief Decodes a frame from its head and body.
 [[nodiscard]] tl::expected<Frame, WireError> ParseFrame(std::string_view head,
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -156,5 +156,15 @@
     # Ask whether the connection still carries data, and the answer.
     probe @24 :Void;
     probeReply @25 :Void;
+    # A part of a large frame, prefix included; the bytes are the body. The parts
+    # of a transfer arrive in order, those of different ones in turns.
+    fragment :group {
+      transfer @28 :UInt64;
+      isLast @29 :Bool;
+    }
+    # The receiver has the oldest fragment not yet acknowledged.
+    fragmentAck @30 :Void;
+    # The rest of a transfer will not be sent.
+    fragmentAbort @31 :UInt64;
   }
 }
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -353,6 +353,15 @@
   }
   void operator()(const ProbeFrame&) { m_out.setProbe(); }
   void operator()(const ProbeReplyFrame&) { m_out.setProbeReply(); }
+  void operator()(const FragmentFrame& frame) {
+    auto out = m_out.initFragment();
+    out.setTransfer(frame.m_transfer);
+    out.setIsLast(frame.m_is_last);
+  }
+  void operator()(const FragmentAckFrame&) { m_out.setFragmentAck(); }
+  void operator()(const FragmentAbortFrame& frame) {
+    m_out.setFragmentAbort(frame.m_transfer);
+  }
 };
 
 Frame ReadAttempt(schema::Frame::Attempt::Reader in, std::string_view body) {
@@ -485,6 +494,13 @@
       return ProbeFrame{};
     case schema::Frame::PROBE_REPLY:
       return ProbeReplyFrame{};
+    case schema::Frame::FRAGMENT:
+      return FragmentFrame{in.getFragment().getTransfer(),
+                           in.getFragment().getIsLast(), std::string(body)};
+    case schema::Frame::FRAGMENT_ACK:
+      return FragmentAckFrame{};
+    case schema::Frame::FRAGMENT_ABORT:
+      return FragmentAbortFrame{in.getFragmentAbort()};
   }
   return CancelFrame{};
 }
@@ -521,6 +537,9 @@
   if (const auto* reply = std::get_if<ReplyFrame>(&frame)) {
     return reply->m_response.m_body;
   }
+  if (const auto* fragment = std::get_if<FragmentFrame>(&frame)) {
+    return fragment->m_bytes;
+  }
   return {};
 }
 
