Send large frames in fragments, no more of them at a time than the link needs

Cause: all that a VM sends goes through its one link, and large answers filled it with up to 1 MB of what sockets had accepted, which no later frame can overtake, on whichever connection. Class of fault: a queue without a bound, beyond the point where the order can still be chosen.

Change: frames over 16 KiB are sent in fragments that the peer acknowledges. core::LinkScheduler keeps under way what the link needs to be busy, steered by the delay of the acknowledgements; the rest waits in the process, by priority and deadline. Small frames are sent at once. What is cancelled, or cannot arrive by its deadline at the link's rate, is not sent. This holds for all large frames: answers, requests, records and configurations. Each peer's first fragment in a minute is sent alone, so that the queue does not pass for the round trip of the idle link.

Processes of this version send no fragments that earlier ones understand.

--- a/core/include/figlug/core/link/link_scheduler.h
+++ b/core/include/figlug/core/link/link_scheduler.h
@@ -57,7 +57,8 @@
   /// \brief Forgets a transfer that is no longer needed; fragments that are
   /// under way stay so.
   void Remove(TransferId id);
-  /// \brief Removes the transfers whose deadline has passed.
+  /// \brief Removes the transfers that cannot be complete by their deadline, as
+  /// far as the link's rate is known. Reviews them a few times a second only.
   [[nodiscard]] std::vector<TransferId> TakeExpired(Time now);
   /// \brief The fragment to send now, which counts as sent.
   /// \returns Nothing while the window is full or nothing waits.
@@ -81,10 +82,9 @@
   struct Peer {
     std::deque<Sent> m_in_flight;
     std::size_t m_in_flight_bytes = 0;
-    /// Shortest round trips of the current and of the previous period.
-    Duration m_shortest = Duration::max();
-    Duration m_previous_shortest = Duration::max();
-    Time m_period_start{};
+    /// Round trip of a fragment on the idle link, and when it was measured.
+    std::optional<Duration> m_idle_round_trip;
+    Time m_measured_at{};
     /// Nothing was acknowledged for long; its fragments do not count.
     bool m_is_stalled = false;
   };
@@ -107,7 +107,9 @@
   }
   [[nodiscard]] Duration StallTime() const noexcept;
   void FindStalled(Time now);
-  void ObserveRoundTrip(Time now, Peer& peer, Duration round_trip);
+  /// Whether the idle link's round trip to the peer must be measured before
+  /// more is sent to it.
+  [[nodiscard]] static bool IsUnmeasured(Time now, const Peer& peer) noexcept;
 
   SendWindow m_window;
   RateMeter m_rate;
@@ -120,6 +122,9 @@
   std::size_t m_queued = 0;
   Duration m_smoothed_round_trip{};
   bool m_is_limiting = false;
+  Time m_reviewed_at = Time::min();
+  /// The peer whose round trip is being measured; nothing else is sent.
+  std::optional<LinkPeerId> m_measuring;
 };
 
 }  // namespace figlug::core
--- a/core/src/link/send_window.cc
+++ b/core/src/link/send_window.cc
@@ -7,7 +7,7 @@
 
 /// Time that a short message may wait behind fragments under way. Short calls
 /// between targets have to end within about 100 ms, there and back.
-constexpr Duration kTargetQueueing = std::chrono::milliseconds(25);
+constexpr Duration kTargetQueueing = std::chrono::milliseconds(30);
 /// Queueing from which on the window is reduced in proportion, as after a link
 /// has lost much of its rate.
 constexpr Duration kExcessiveQueueing = 2 * kTargetQueueing;
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -456,6 +456,11 @@
       {"peer_unsent_bytes", static_cast<double>(backlog.m_all_unsent)},
       {"peer_unacknowledged_bytes",
        static_cast<double>(backlog.m_all_unacknowledged)},
+      {"link_window_bytes", static_cast<double>(m_peers.link_window())},
+      {"link_queued_bytes",
+       static_cast<double>(m_peers.link_load(now).m_queued_bytes)},
+      {"link_bytes_per_second", m_peers.link_load(now).m_bytes_per_second},
+      {"peer_dropped_bytes", static_cast<double>(m_peers.dropped_bytes())},
       {"log_lines_omitted", static_cast<double>(m_decisions.omitted())},
       {"log_lines_lost", static_cast<double>(LostLogLines())},
       {"heartbeat_bytes", static_cast<double>(m_datagrams.bytes())},
@@ -851,7 +856,9 @@
     LogBacklog(now.m_time, work);
     m_peers.Reply(*work.m_peer,
                   {work.m_attempt, action.m_outcome, action.m_reason,
-                   std::move(work.m_response), action.m_load});
+                   std::move(work.m_response), action.m_load},
+                  {work.m_head.m_priority,
+                   work.m_started.m_time + work.m_head.m_time_left});
   } else {
     m_node.OnGateLoad(now, work.m_attempt, action.m_load);
     EndAttempt(work.m_attempt, action.m_outcome, action.m_reason,
--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -9,6 +9,8 @@
 
 #include "figlug/core/endpoint.h"
 #include "figlug/core/ids.h"
+#include "figlug/core/link/link_load.h"
+#include "figlug/core/time.h"
 #include "figlug/runtime/buffer_meter.h"
 #include "figlug/runtime/event_loop.h"
 #include "figlug/runtime/runtime_error.h"
@@ -24,6 +26,14 @@
 /// second.
 inline constexpr core::Duration kInboundIdleTime = std::chrono::minutes(1);
 
+/// \brief How urgent a large frame is. Small ones are sent at once.
+struct SendTerms {
+  /// Frames with lower values go first.
+  std::uint32_t m_priority = 0;
+  /// From here on, the frame is of no use and is not sent.
+  core::Time m_deadline = core::kNever;
+};
+
 /// \brief Callbacks of a PeerTransport.
 struct PeerHandlers {
   /// Called for each frame except replies; a reply to it is sent on the same
@@ -85,9 +95,18 @@
   void Send(const core::Endpoint& to, const wire::Frame& frame);
   /// \brief Sends a reply on the connection that its attempt came from; ignored
   /// if that connection is closed.
-  void Reply(PeerConnectionId to, const wire::ReplyFrame& frame);
+  void Reply(PeerConnectionId to,
+             const wire::ReplyFrame& frame,
+             const SendTerms& terms = {});
   /// \brief Bytes that wait to be written to connected peers.
   [[nodiscard]] std::size_t unsent_bytes() const;
+  /// \brief What waits for the link of this VM.
+  [[nodiscard]] core::LinkLoad link_load(core::Time now) const;
+  /// \brief Bytes of large frames that may be under way at a time.
+  [[nodiscard]] std::size_t link_window() const;
+  /// \brief Bytes of large frames that were cancelled or expired before they
+  /// were sent, since the start.
+  [[nodiscard]] std::uint64_t dropped_bytes() const noexcept;
   /// \brief What stands before the next reply on a connection that a peer
   /// opened. Asks the system about each connection.
   [[nodiscard]] PeerBacklog BacklogOf(PeerConnectionId to) const;
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -23,9 +23,12 @@
 #include <log4cplus/loggingmacros.h>
 
 #include "figlug/core/connection_liveness.h"
+#include "figlug/runtime/impl/fragment_sender.h"
+#include "figlug/runtime/impl/frame_reader.h"
 #include "figlug/runtime/impl/socket_address.h"
 #include "figlug/runtime/impl/timeval.h"
 #include "figlug/runtime/logging.h"
+#include "figlug/wire/fragment_assembler.h"
 
 namespace figlug::runtime {
 namespace {
@@ -36,15 +39,6 @@
 constexpr timeval kWriteTimeout{1, 0};
 /// Well below the times within which a silent connection is probed and closed.
 constexpr core::Duration kLivenessInterval = std::chrono::milliseconds(100);
-/// Bytes of one connection that are read before they are handled.
-constexpr std::size_t kMaxBatchBytes = 4U << 20;
-
-std::string_view Peek(evbuffer* input, std::size_t length) {
-  return {reinterpret_cast<const char*>(
-              evbuffer_pullup(input, static_cast<ev_ssize_t>(length))),
-          length};
-}
-
 std::size_t UnsentBytes(bufferevent* stream) {
   return evbuffer_get_length(bufferevent_get_output(stream));
 }
@@ -73,6 +67,12 @@
         m_handlers(std::move(handlers)),
         m_meter(meter),
         m_inbound_read_timeout(impl::ToTimeval(max_inbound_idle)),
+        m_large_frames(
+            loop,
+            [this](core::LinkPeerId peer, const wire::Frame& frame) {
+              WriteNow(*m_links.at(peer), frame);
+            },
+            meter),
         m_free_closed(loop, [this] { m_closed.clear(); }),
         m_liveness_timer(loop, [this] { ReviewLiveness(); }),
         m_discard_timer(loop, [this] { CloseDiscarded(); }) {}
@@ -101,18 +101,19 @@
 
   void SendAttempt(const core::Endpoint& to, const wire::AttemptFrame& frame) {
     Connection& connection = Connect(to);
+    const core::Time end = ReadClocks().m_time + frame.m_head.m_time_left;
     connection.m_attempts.insert(frame.m_attempt);
-    connection.m_liveness.OnAttemptSent(ReadClocks().m_time +
-                                        frame.m_head.m_time_left);
-    Write(connection, frame);
+    connection.m_liveness.OnAttemptSent(end);
+    Write(connection, frame, {frame.m_head.m_priority, end}, frame.m_attempt);
   }
 
-  // The peer knows an attempt by the connection that it came from.
+  // The peer knows an attempt by the connection that it came from, and not at
+  // all while a part of it waits.
   void Cancel(const core::Endpoint& to, core::AttemptId attempt) {
     const auto cancel = [&](Connection& connection) {
       const bool is_open = connection.m_attempts.erase(attempt) > 0;
-      if (is_open) {
-        Write(connection, wire::CancelFrame{attempt});
+      if (is_open && !m_large_frames.Cancel(connection.m_link, attempt)) {
+        WriteNow(connection, wire::CancelFrame{attempt});
       }
       return is_open;
     };
@@ -128,18 +129,32 @@
   }
 
   void Send(const core::Endpoint& to, const wire::Frame& frame) {
-    Write(Connect(to), frame);
+    Write(Connect(to), frame, {}, std::nullopt);
   }
 
-  void Reply(PeerConnectionId to, const wire::ReplyFrame& frame) {
+  void Reply(PeerConnectionId to,
+             const wire::ReplyFrame& frame,
+             const SendTerms& terms) {
     const auto it = m_inbound.find(to);
     if (it != m_inbound.end()) {
-      Write(*it->second, frame);
+      Write(*it->second, frame, terms, frame.m_attempt);
     }
   }
 
+  core::LinkLoad link_load(core::Time now) const {
+    return m_large_frames.scheduler().Load(now);
+  }
+
+  std::size_t link_window() const noexcept {
+    return m_large_frames.scheduler().window();
+  }
+
+  std::uint64_t dropped_bytes() const noexcept {
+    return m_large_frames.dropped_bytes();
+  }
+
   std::size_t unsent_bytes() const {
-    std::size_t bytes = 0;
+    std::size_t bytes = m_large_frames.unsent_bytes();
     ForEachConnected([&](const Connection& connection) {
       bytes += UnsentBytes(connection.m_stream);
     });
@@ -148,6 +163,7 @@
 
   PeerBacklog BacklogOf(PeerConnectionId to) const {
     PeerBacklog backlog;
+    backlog.m_all_unsent = m_large_frames.unsent_bytes();
     ForEachConnected([&](const Connection& connection) {
       const std::size_t unsent = UnsentBytes(connection.m_stream);
       const std::size_t unacknowledged =
@@ -177,6 +193,8 @@
     }
     Impl* m_impl = nullptr;
     bufferevent* m_stream = nullptr;
+    core::LinkPeerId m_link{0};
+    wire::FragmentAssembler m_assembler;
     /// Set for connections opened by a peer.
     PeerConnectionId m_id{0};
     /// Set for connections opened by this process.
@@ -248,6 +266,8 @@
   }
 
   void Attach(Connection& connection, evutil_socket_t socket) {
+    connection.m_link = core::LinkPeerId{++m_last_link};
+    m_links[connection.m_link] = &connection;
     connection.m_stream = bufferevent_socket_new(
         m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(connection.m_stream, &OnReadable, nullptr, &OnEvent,
@@ -268,7 +288,9 @@
   }
 
   static void OnInput(evbuffer* input, const evbuffer_cb_info*, void* arg) {
-    static_cast<Connection*>(arg)->m_arriving->Set(evbuffer_get_length(input));
+    auto* connection = static_cast<Connection*>(arg);
+    connection->m_arriving->Set(evbuffer_get_length(input) +
+                                connection->m_assembler.bytes());
   }
 
   static void OnOutput(evbuffer* output, const evbuffer_cb_info*, void* arg) {
@@ -316,9 +338,31 @@
     impl->m_inbound[id] = std::move(connection);
   }
 
-  void Write(Connection& connection, const wire::Frame& frame) {
-    const std::string head = wire::EncodeFrameHead(frame);
+  // Frames that are small go at once, past the large ones that wait.
+  void Write(Connection& connection,
+             const wire::Frame& frame,
+             const SendTerms& terms,
+             std::optional<core::AttemptId> attempt) {
+    std::string head = wire::EncodeFrameHead(frame);
     const std::string_view body = wire::BodyOf(frame);
+    if (head.size() + body.size() <= core::kFragmentBytes) {
+      WriteEncoded(connection, head, body);
+      return;
+    }
+    head += body;
+    m_large_frames.Send({.m_peer = connection.m_link,
+                         .m_priority = terms.m_priority,
+                         .m_deadline = terms.m_deadline},
+                        std::move(head), attempt);
+  }
+
+  void WriteNow(Connection& connection, const wire::Frame& frame) {
+    WriteEncoded(connection, wire::EncodeFrameHead(frame), wire::BodyOf(frame));
+  }
+
+  void WriteEncoded(Connection& connection,
+                    std::string_view head,
+                    std::string_view body) {
     evbuffer* output = bufferevent_get_output(connection.m_stream);
     evbuffer_add(output, head.data(), head.size());
     evbuffer_add(output, body.data(), body.size());
@@ -354,7 +398,7 @@
         case core::LivenessAction::kNone:
           break;
         case core::LivenessAction::kProbe:
-          Write(*connection, wire::ProbeFrame{});
+          WriteNow(*connection, wire::ProbeFrame{});
           break;
         case core::LivenessAction::kRetire:
           silent.push_back(connection.get());
@@ -423,7 +467,7 @@
       StartLivenessTimer();
       if (!retired->m_attempts.empty() &&
           !m_outbound.contains(MakeKey(retired->m_to))) {
-        Write(Connect(retired->m_to), wire::ProbeFrame{});
+        WriteNow(Connect(retired->m_to), wire::ProbeFrame{});
       }
     }
   }
@@ -446,9 +490,11 @@
     auto* connection = static_cast<Connection*>(arg);
     connection->m_is_probed = false;
     evbuffer* input = bufferevent_get_input(stream);
-    ReadAll(stream, input);
+    impl::ReadAll(stream, input);
     std::vector<wire::Frame> frames;
-    const bool is_valid = ParseFrames(input, frames);
+    const bool is_valid =
+        impl::ParseFrames(input, frames) &&
+        connection->m_impl->JoinFragments(*connection, frames);
     connection->m_impl->Deliver(*connection, std::move(frames));
     if (!is_valid) {
       LOG4CPLUS_WARN(MemberLogger(),
@@ -461,42 +507,32 @@
     }
   }
 
-  // libevent reads a few KiB in each iteration of the loop. After a pause that
-  // would deliver attempts long before the cancellations sent after them.
-  static void ReadAll(bufferevent* stream, evbuffer* input) {
-    evbuffer_unfreeze(input, 0);
-    while (evbuffer_get_length(input) < kMaxBatchBytes &&
-           evbuffer_read(input, bufferevent_getfd(stream), -1) > 0) {
-    }
-    evbuffer_freeze(input, 0);
-  }
-
-  // Removes all complete frames from the input. Returns false if the input is
-  // not a sequence of frames.
-  [[nodiscard]] static bool ParseFrames(evbuffer* input,
-                                        std::vector<wire::Frame>& frames) {
-    while (evbuffer_get_length(input) >= wire::kFramePrefixBytes) {
-      const auto prefix =
-          wire::ParseFramePrefix(Peek(input, wire::kFramePrefixBytes));
-      if (!prefix) {
-        return false;
-      }
-      const std::size_t length =
-          wire::kFramePrefixBytes + prefix->m_head + prefix->m_body;
-      if (evbuffer_get_length(input) < length) {
-        return true;
-      }
-      const std::string_view bytes = Peek(input, length);
-      auto frame = wire::ParseFrame(
-          bytes.substr(wire::kFramePrefixBytes, prefix->m_head),
-          bytes.substr(wire::kFramePrefixBytes + prefix->m_head));
-      evbuffer_drain(input, length);
-      if (!frame) {
-        return false;
+  // Replaces the fragments by the frames that they complete. Returns false if
+  // they are none.
+  [[nodiscard]] bool JoinFragments(Connection& connection,
+                                   std::vector<wire::Frame>& frames) {
+    std::vector<wire::Frame> whole;
+    bool is_valid = true;
+    for (wire::Frame& frame : frames) {
+      if (auto* fragment = std::get_if<wire::FragmentFrame>(&frame)) {
+        WriteNow(connection, wire::FragmentAckFrame{});
+        auto joined = connection.m_assembler.Add(std::move(*fragment));
+        is_valid = joined.has_value();
+        if (!is_valid) {
+          break;
+        }
+        if (*joined) {
+          whole.push_back(std::move(**joined));
+        }
+      } else if (const auto* abort =
+                     std::get_if<wire::FragmentAbortFrame>(&frame)) {
+        connection.m_assembler.Abort(abort->m_transfer);
+      } else {
+        whole.push_back(std::move(frame));
       }
-      frames.push_back(std::move(*frame));
     }
-    return true;
+    frames = std::move(whole);
+    return is_valid;
   }
 
   // An attempt that a later frame of the batch cancels is not delivered.
@@ -523,7 +559,16 @@
       return;
     }
     if (std::holds_alternative<wire::ProbeFrame>(frame)) {
-      Write(connection, wire::ProbeReplyFrame{});
+      WriteNow(connection, wire::ProbeReplyFrame{});
+      return;
+    }
+    if (std::holds_alternative<wire::FragmentAckFrame>(frame)) {
+      m_large_frames.OnAck(connection.m_link);
+      return;
+    }
+    const auto* cancel = std::get_if<wire::CancelFrame>(&frame);
+    if (cancel != nullptr &&
+        m_large_frames.Cancel(connection.m_link, cancel->m_attempt)) {
       return;
     }
     if (!std::holds_alternative<wire::ProbeReplyFrame>(frame)) {
@@ -553,7 +598,7 @@
   // be unknown. libevent stops reading after a read timeout.
   void OnInboundSilent(Connection& connection) {
     if (!std::exchange(connection.m_is_probed, true)) {
-      Write(connection, wire::ProbeFrame{});
+      WriteNow(connection, wire::ProbeFrame{});
       bufferevent_enable(connection.m_stream, EV_READ);
       return;
     }
@@ -569,6 +614,8 @@
     bufferevent_disable(connection.m_stream, EV_READ | EV_WRITE);
     bufferevent_setcb(connection.m_stream, nullptr, nullptr, nullptr, nullptr);
     m_free_closed.Set(core::Duration::zero());
+    m_links.erase(connection.m_link);
+    m_large_frames.OnClosed(connection.m_link);
     if (connection.m_id != PeerConnectionId{0}) {
       const PeerConnectionId id = connection.m_id;
       const auto it = m_inbound.find(id);
@@ -600,7 +647,11 @@
   std::string m_host;
   evconnlistener* m_listener = nullptr;
   std::uint64_t m_last_id = 0;
+  std::uint64_t m_last_link = 0;
   std::uint64_t m_bytes_sent = 0;
+  /// All connections that are not closed.
+  std::map<core::LinkPeerId, Connection*> m_links;
+  impl::FragmentSender m_large_frames;
   std::map<Key, std::unique_ptr<Connection>> m_outbound;
   std::map<PeerConnectionId, std::unique_ptr<Connection>> m_inbound;
   /// Silent connections of this process that still owe replies.
@@ -641,8 +692,22 @@
   m_impl->Send(to, frame);
 }
 
-void PeerTransport::Reply(PeerConnectionId to, const wire::ReplyFrame& frame) {
-  m_impl->Reply(to, frame);
+void PeerTransport::Reply(PeerConnectionId to,
+                          const wire::ReplyFrame& frame,
+                          const SendTerms& terms) {
+  m_impl->Reply(to, frame, terms);
+}
+
+core::LinkLoad PeerTransport::link_load(core::Time now) const {
+  return m_impl->link_load(now);
+}
+
+std::size_t PeerTransport::link_window() const {
+  return m_impl->link_window();
+}
+
+std::uint64_t PeerTransport::dropped_bytes() const noexcept {
+  return m_impl->dropped_bytes();
 }
 
 std::size_t PeerTransport::unsent_bytes() const {
--- a/wire/src/fragment_assembler.cc
+++ b/wire/src/fragment_assembler.cc
@@ -6,19 +6,27 @@
 namespace figlug::wire {
 namespace {
 
-tl::expected<std::optional<Frame>, WireError> ParseWhole(
+// Length of the frame that the bytes begin, prefix included; nothing while the
+// prefix is not whole.
+tl::expected<std::optional<std::size_t>, WireError> FrameLength(
     std::string_view bytes) {
   if (bytes.size() < kFramePrefixBytes) {
-    return tl::unexpected(WireError{"fragments end within the frame's prefix"});
+    return std::nullopt;
   }
   const auto prefix = ParseFramePrefix(bytes);
   if (!prefix) {
     return tl::unexpected(prefix.error());
   }
-  if (bytes.size() != kFramePrefixBytes + prefix->m_head + prefix->m_body) {
-    return tl::unexpected(
-        WireError{"fragments differ in length from their frame"});
+  return kFramePrefixBytes + std::size_t{prefix->m_head} + prefix->m_body;
+}
+
+tl::expected<std::optional<Frame>, WireError> ParseWhole(
+    std::string_view bytes,
+    std::optional<std::size_t> length) {
+  if (length != bytes.size()) {
+    return tl::unexpected(WireError{"fragments end before their frame"});
   }
+  const auto prefix = ParseFramePrefix(bytes);
   auto frame = ParseFrame(bytes.substr(kFramePrefixBytes, prefix->m_head),
                           bytes.substr(kFramePrefixBytes + prefix->m_head));
   if (!frame) {
@@ -43,9 +51,14 @@
     bytes += fragment.m_bytes;
     m_bytes += fragment.m_bytes.size();
   }
-  if (bytes.size() > kFramePrefixBytes + std::size_t{kMaxFrameHeadBytes} +
-                         kMaxFrameBodyBytes) {
-    return tl::unexpected(WireError{"fragments exceed the largest frame"});
+  const auto length = FrameLength(bytes);
+  if (!length) {
+    Abort(fragment.m_transfer);
+    return tl::unexpected(length.error());
+  }
+  if (*length && bytes.size() > **length) {
+    Abort(fragment.m_transfer);
+    return tl::unexpected(WireError{"fragments are longer than their frame"});
   }
   if (!fragment.m_is_last) {
     return std::nullopt;
@@ -53,7 +66,7 @@
   const std::string whole = std::move(bytes);
   m_transfers.erase(fragment.m_transfer);
   m_bytes -= whole.size();
-  return ParseWhole(whole);
+  return ParseWhole(whole, *length);
 }
 
 void FragmentAssembler::Abort(std::uint64_t transfer) {
