--- a/runtime/src/frame_reader.cc
+++ b/runtime/src/frame_reader.cc
@@ -19,8 +19,6 @@
           length};
 }
 
-}  // namespace
-
 // libevent reads a few KiB in each iteration of the loop. After a pause that
 // would deliver attempts long before the cancellations sent after them.
 void ReadAll(bufferevent* stream, evbuffer* input) {
@@ -31,7 +29,17 @@
   evbuffer_freeze(input, 0);
 }
 
-bool ParseFrames(evbuffer* input, std::vector<wire::Frame>& frames) {
+}  // namespace
+
+FrameBatch FrameReader::Read(bufferevent* stream) {
+  evbuffer* input = bufferevent_get_input(stream);
+  ReadAll(stream, input);
+  FrameBatch batch;
+  batch.m_is_valid = Parse(input, batch);
+  return batch;
+}
+
+bool FrameReader::Parse(evbuffer* input, FrameBatch& batch) {
   while (evbuffer_get_length(input) >= wire::kFramePrefixBytes) {
     const auto prefix =
         wire::ParseFramePrefix(Peek(input, wire::kFramePrefixBytes));
@@ -48,12 +56,28 @@
         bytes.substr(wire::kFramePrefixBytes, prefix->m_head),
         bytes.substr(wire::kFramePrefixBytes + prefix->m_head));
     evbuffer_drain(input, length);
-    if (!frame) {
+    if (!frame || !Add(std::move(*frame), batch)) {
       return false;
     }
-    frames.push_back(std::move(*frame));
   }
   return true;
 }
 
+bool FrameReader::Add(wire::Frame&& frame, FrameBatch& batch) {
+  if (auto* fragment = std::get_if<wire::FragmentFrame>(&frame)) {
+    ++batch.m_fragments;
+    auto joined = m_assembler.Add(std::move(*fragment));
+    if (joined && *joined) {
+      batch.m_frames.push_back(std::move(**joined));
+    }
+    return joined.has_value();
+  }
+  if (const auto* abort = std::get_if<wire::FragmentAbortFrame>(&frame)) {
+    m_assembler.Abort(abort->m_transfer);
+    return true;
+  }
+  batch.m_frames.push_back(std::move(frame));
+  return true;
+}
+
 }  // namespace figlug::runtime::impl
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -4,10 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <cstring>
@@ -25,10 +22,10 @@
 #include "figlug/core/connection_liveness.h"
 #include "figlug/runtime/impl/fragment_sender.h"
 #include "figlug/runtime/impl/frame_reader.h"
+#include "figlug/runtime/impl/peer_socket.h"
 #include "figlug/runtime/impl/socket_address.h"
 #include "figlug/runtime/impl/timeval.h"
 #include "figlug/runtime/logging.h"
-#include "figlug/wire/fragment_assembler.h"
 
 namespace figlug::runtime {
 namespace {
@@ -39,22 +36,6 @@
 constexpr timeval kWriteTimeout{1, 0};
 /// Well below the times within which a silent connection is probed and closed.
 constexpr core::Duration kLivenessInterval = std::chrono::milliseconds(100);
-std::size_t UnsentBytes(bufferevent* stream) {
-  return evbuffer_get_length(bufferevent_get_output(stream));
-}
-
-std::size_t UnacknowledgedBytes(bufferevent* stream) {
-  int bytes = 0;
-  return ioctl(bufferevent_getfd(stream), SIOCOUTQ, &bytes) == 0
-             ? static_cast<std::size_t>(std::max(0, bytes))
-             : 0;
-}
-
-void EnableNoDelay(evutil_socket_t socket) {
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 }  // namespace
 
 class PeerTransport::Impl {
@@ -156,7 +137,7 @@
   std::size_t unsent_bytes() const {
     std::size_t bytes = m_large_frames.unsent_bytes();
     ForEachConnected([&](const Connection& connection) {
-      bytes += UnsentBytes(connection.m_stream);
+      bytes += impl::UnsentBytes(connection.m_stream);
     });
     return bytes;
   }
@@ -165,9 +146,9 @@
     PeerBacklog backlog;
     backlog.m_all_unsent = m_large_frames.unsent_bytes();
     ForEachConnected([&](const Connection& connection) {
-      const std::size_t unsent = UnsentBytes(connection.m_stream);
+      const std::size_t unsent = impl::UnsentBytes(connection.m_stream);
       const std::size_t unacknowledged =
-          UnacknowledgedBytes(connection.m_stream);
+          impl::UnacknowledgedBytes(connection.m_stream);
       backlog.m_all_unsent += unsent;
       backlog.m_all_unacknowledged += unacknowledged;
       if (!IsOutbound(connection) && connection.m_id == to) {
@@ -194,7 +175,7 @@
     Impl* m_impl = nullptr;
     bufferevent* m_stream = nullptr;
     core::LinkPeerId m_link{0};
-    wire::FragmentAssembler m_assembler;
+    impl::FrameReader m_reader;
     /// Set for connections opened by a peer.
     PeerConnectionId m_id{0};
     /// Set for connections opened by this process.
@@ -242,7 +223,8 @@
     slot = std::make_unique<Connection>();
     slot->m_impl = this;
     slot->m_to = to;
-    Attach(*slot, OpenSocket());
+    // Outgoing connections use the address that this process listens on.
+    Attach(*slot, impl::OpenPeerSocket(m_host));
     bufferevent_set_timeouts(slot->m_stream, nullptr, &kConnectTimeout);
     const sockaddr_in address = impl::ToSocketAddress(to);
     bufferevent_socket_connect(slot->m_stream,
@@ -251,20 +233,6 @@
     return *slot;
   }
 
-  // Outgoing connections use the address that this process listens on.
-  [[nodiscard]] evutil_socket_t OpenSocket() const {
-    const evutil_socket_t opened =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(opened, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
-    const sockaddr_in local = impl::ToSocketAddress({m_host, 0});
-    if (bind(opened, reinterpret_cast<const sockaddr*>(&local),
-             sizeof(local)) != 0) {
-      LOG4CPLUS_WARN(ProcessLogger(), "cannot call peers from " << m_host);
-    }
-    return opened;
-  }
-
   void Attach(Connection& connection, evutil_socket_t socket) {
     connection.m_link = core::LinkPeerId{++m_last_link};
     m_links[connection.m_link] = &connection;
@@ -290,7 +258,7 @@
   static void OnInput(evbuffer* input, const evbuffer_cb_info*, void* arg) {
     auto* connection = static_cast<Connection*>(arg);
     connection->m_arriving->Set(evbuffer_get_length(input) +
-                                connection->m_assembler.bytes());
+                                connection->m_reader.incomplete_bytes());
   }
 
   static void OnOutput(evbuffer* output, const evbuffer_cb_info*, void* arg) {
@@ -326,7 +294,7 @@
                        int,
                        void* arg) {
     auto* impl = static_cast<Impl*>(arg);
-    EnableNoDelay(socket);
+    impl::EnableNoDelay(socket);
     const PeerConnectionId id{++impl->m_last_id};
     auto connection = std::make_unique<Connection>();
     connection->m_impl = impl;
@@ -489,14 +457,15 @@
   static void OnReadable(bufferevent* stream, void* arg) {
     auto* connection = static_cast<Connection*>(arg);
     connection->m_is_probed = false;
-    evbuffer* input = bufferevent_get_input(stream);
-    impl::ReadAll(stream, input);
-    std::vector<wire::Frame> frames;
-    const bool is_valid =
-        impl::ParseFrames(input, frames) &&
-        connection->m_impl->JoinFragments(*connection, frames);
-    connection->m_impl->Deliver(*connection, std::move(frames));
-    if (!is_valid) {
+    impl::FrameBatch batch = connection->m_reader.Read(stream);
+    if (connection->m_arriving) {
+      OnInput(bufferevent_get_input(stream), nullptr, connection);
+    }
+    for (std::size_t i = 0; i < batch.m_fragments; ++i) {
+      connection->m_impl->WriteNow(*connection, wire::FragmentAckFrame{});
+    }
+    connection->m_impl->Deliver(*connection, std::move(batch.m_frames));
+    if (!batch.m_is_valid) {
       LOG4CPLUS_WARN(MemberLogger(),
                      "connection to a peer closed: cannot parse its frames");
       connection->m_impl->Close(*connection);
@@ -507,34 +476,6 @@
     }
   }
 
-  // Replaces the fragments by the frames that they complete. Returns false if
-  // they are none.
-  [[nodiscard]] bool JoinFragments(Connection& connection,
-                                   std::vector<wire::Frame>& frames) {
-    std::vector<wire::Frame> whole;
-    bool is_valid = true;
-    for (wire::Frame& frame : frames) {
-      if (auto* fragment = std::get_if<wire::FragmentFrame>(&frame)) {
-        WriteNow(connection, wire::FragmentAckFrame{});
-        auto joined = connection.m_assembler.Add(std::move(*fragment));
-        is_valid = joined.has_value();
-        if (!is_valid) {
-          break;
-        }
-        if (*joined) {
-          whole.push_back(std::move(**joined));
-        }
-      } else if (const auto* abort =
-                     std::get_if<wire::FragmentAbortFrame>(&frame)) {
-        connection.m_assembler.Abort(abort->m_transfer);
-      } else {
-        whole.push_back(std::move(frame));
-      }
-    }
-    frames = std::move(whole);
-    return is_valid;
-  }
-
   // An attempt that a later frame of the batch cancels is not delivered.
   void Deliver(Connection& connection, std::vector<wire::Frame>&& frames) {
     std::set<core::AttemptId> cancelled;
@@ -580,7 +521,7 @@
     auto* connection = static_cast<Connection*>(arg);
     if ((events & BEV_EVENT_CONNECTED) != 0) {
       connection->m_is_connected = true;
-      EnableNoDelay(bufferevent_getfd(stream));
+      impl::EnableNoDelay(bufferevent_getfd(stream));
       bufferevent_set_timeouts(stream, nullptr, &kWriteTimeout);
       connection->m_liveness.OnSent(ReadClocks().m_time);
       connection->m_impl->StartLivenessTimer();
