Tell a peer at once that its large answer will not arrive in time

An answer that the link cannot carry by its deadline is not sent, and its caller waited for the deadline all the same. Its ingress now gets an unknown outcome at once, and may try elsewhere within the budget for retries. Class of fault: a decision that is kept from the one who waits for it.

Test, failing before (no reply within 10 s): ThinLink.AnAnswerThatCannotArriveInTimeIsGivenUpAtOnce.

--- a/runtime/include/figlug/runtime/impl/fragment_sender.h
+++ b/runtime/include/figlug/runtime/impl/fragment_sender.h
@@ -18,16 +18,23 @@
 
 namespace figlug::runtime::impl {
 
+/// \brief Callbacks of a FragmentSender.
+struct FragmentHandlers {
+  /// Writes a frame to a peer's connection at once.
+  std::function<void(core::LinkPeerId, const wire::Frame&)> m_write;
+  /// Called for an attempt whose frame is not sent, or not to its end, because
+  /// it would arrive too late.
+  std::function<void(core::LinkPeerId, core::AttemptId)> m_on_expired;
+};
+
 /// \brief Keeps the large frames that wait for the VM's link, and sends them in
 /// fragments as core::LinkScheduler decides.
 class FragmentSender {
  public:
-  using WriteFrame =
-      std::function<void(core::LinkPeerId peer, const wire::Frame& frame)>;
-
-  /// \param write Called to write a frame to a peer's connection at once.
   /// \param meter Counts the frames that wait. Null: they are not counted.
-  FragmentSender(EventLoop& loop, WriteFrame write, BufferMeter* meter);
+  FragmentSender(EventLoop& loop,
+                 FragmentHandlers handlers,
+                 BufferMeter* meter);
 
   /// \brief Sends an encoded frame, prefix included.
   /// \param terms Priority and deadline; its peer names the connection.
@@ -72,7 +79,7 @@
   /// Removes a frame.
   WaitingMap::iterator Erase(WaitingMap::iterator it);
 
-  WriteFrame m_write;
+  FragmentHandlers m_handlers;
   BufferMeter* m_meter;
   core::LinkScheduler m_scheduler;
   WaitingMap m_waiting;
--- a/runtime/src/fragment_sender.cc
+++ b/runtime/src/fragment_sender.cc
@@ -13,9 +13,9 @@
 }  // namespace
 
 FragmentSender::FragmentSender(EventLoop& loop,
-                               WriteFrame write,
+                               FragmentHandlers handlers,
                                BufferMeter* meter)
-    : m_write(std::move(write)), m_meter(meter), m_timer(loop, [this] {
+    : m_handlers(std::move(handlers)), m_meter(meter), m_timer(loop, [this] {
         m_timer_at = core::kNever;
         SendDue();
       }) {}
@@ -57,7 +57,8 @@
     WaitingMap::iterator it) {
   const Waiting& waiting = it->second;
   if (waiting.m_sent > 0) {
-    m_write(waiting.m_peer, wire::FragmentAbortFrame{Raw(it->first)});
+    m_handlers.m_write(waiting.m_peer,
+                       wire::FragmentAbortFrame{Raw(it->first)});
   }
   m_dropped_bytes += waiting.m_bytes.size() - waiting.m_sent;
   return Erase(it);
@@ -92,15 +93,22 @@
 void FragmentSender::SendDue() {
   const core::Time now = ReadClocks().m_time;
   for (core::TransferId id : m_scheduler.TakeExpired(now)) {
-    Drop(m_waiting.find(id));
+    const auto it = m_waiting.find(id);
+    const core::LinkPeerId peer = it->second.m_peer;
+    const std::optional<core::AttemptId> attempt = it->second.m_attempt;
+    Drop(it);
+    if (attempt) {
+      m_handlers.m_on_expired(peer, *attempt);
+    }
   }
   while (const auto fragment = m_scheduler.Next(now)) {
     const auto it = m_waiting.find(fragment->m_transfer);
     Waiting& waiting = it->second;
-    m_write(waiting.m_peer,
-            wire::FragmentFrame{
-                Raw(it->first), fragment->m_is_last,
-                waiting.m_bytes.substr(waiting.m_sent, fragment->m_bytes)});
+    m_handlers.m_write(
+        waiting.m_peer,
+        wire::FragmentFrame{
+            Raw(it->first), fragment->m_is_last,
+            waiting.m_bytes.substr(waiting.m_sent, fragment->m_bytes)});
     waiting.m_sent += fragment->m_bytes;
     m_unsent_bytes -= fragment->m_bytes;
     if (fragment->m_is_last) {
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -50,9 +50,12 @@
         m_inbound_read_timeout(impl::ToTimeval(max_inbound_idle)),
         m_large_frames(
             loop,
-            [this](core::LinkPeerId peer, const wire::Frame& frame) {
-              WriteNow(*m_links.at(peer), frame);
-            },
+            {[this](core::LinkPeerId peer, const wire::Frame& frame) {
+               WriteNow(*m_links.at(peer), frame);
+             },
+             [this](core::LinkPeerId peer, core::AttemptId attempt) {
+               OnExpired(*m_links.at(peer), attempt);
+             }},
             meter),
         m_free_closed(loop, [this] { m_closed.clear(); }),
         m_liveness_timer(loop, [this] { ReviewLiveness(); }),
@@ -324,6 +327,17 @@
                         std::move(head), attempt);
   }
 
+  // A peer whose answer will not come in time may try elsewhere. An attempt of
+  // this process is left to its deadline.
+  void OnExpired(Connection& connection, core::AttemptId attempt) {
+    if (!IsOutbound(connection)) {
+      WriteNow(connection,
+               wire::ReplyFrame{.m_attempt = attempt,
+                                .m_outcome = core::Outcome::kUnknown,
+                                .m_reason = core::Reason::kOverloaded});
+    }
+  }
+
   void WriteNow(Connection& connection, const wire::Frame& frame) {
     WriteEncoded(connection, wire::EncodeFrameHead(frame), wire::BodyOf(frame));
   }
--- a/runtime/tests/thin_link_test.cc
+++ b/runtime/tests/thin_link_test.cc
@@ -1,5 +1,6 @@
 // A gate behind a link of 10 Mbit/s that all its connections share.
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -49,6 +50,7 @@
 TEST_GROUP(ThinLink) {
   struct Answer {
     core::Time m_at;
+    core::Outcome m_outcome = core::Outcome::kNotRun;
     std::string m_body;
   };
 
@@ -74,7 +76,7 @@
                                .m_on_reply =
                                    [this](wire::ReplyFrame&& reply) {
                                      m_answers[reply.m_attempt] = {
-                                         Now(),
+                                         Now(), reply.m_outcome,
                                          std::move(reply.m_response.m_body)};
                                    },
                                .m_on_lost = [](auto, auto) {},
@@ -112,10 +114,13 @@
     const std::size_t expected = m_asked.size() + count;
     RunUntil([&] { return m_asked.size() >= expected; });
   }
-  void Reply(std::uint64_t attempt, std::size_t bytes) {
+  void Reply(std::uint64_t attempt, std::size_t bytes,
+             const SendTerms& terms = {}) {
     m_gate->Reply(m_asked.at(core::AttemptId{attempt}),
                   {.m_attempt = core::AttemptId{attempt},
-                   .m_response = {200, {}, Body(attempt, bytes)}});
+                   .m_outcome = core::Outcome::kAnswered,
+                   .m_response = {200, {}, Body(attempt, bytes)}},
+                  terms);
   }
   static std::string Body(std::uint64_t attempt, std::size_t bytes) {
     std::string body(bytes, static_cast<char>('a' + attempt % 26));
@@ -216,4 +221,31 @@
                 kept * kLargeBytes + sent_before + under_way);
 }
 
+// Guards against a caller that waits until its deadline for an answer of which
+// the gate knows that it cannot arrive by then.
+TEST(ThinLink, AnAnswerThatCannotArriveInTimeIsGivenUpAtOnce) {
+  constexpr core::Duration time_left = milliseconds(1000);
+  AskForLarge(0, kLargeAnswers, 0, kIngresses);
+  const core::Time start = Now();
+  for (std::uint64_t id = 0; id < kLargeAnswers; ++id) {
+    Reply(id, kLargeBytes, {.m_deadline = start + time_left});
+  }
+  RunUntil([&] { return m_answers.size() == kLargeAnswers; });
+  std::size_t delivered = 0;
+  core::Time first_given_up = core::kNever;
+  for (const auto& [id, answer] : m_answers) {
+    CHECK(answer.m_at < start + time_left + milliseconds(100));
+    if (answer.m_outcome == core::Outcome::kAnswered) {
+      ++delivered;
+      continue;
+    }
+    CHECK(answer.m_outcome == core::Outcome::kUnknown);
+    first_given_up = std::min(first_given_up, answer.m_at);
+  }
+  CHECK(first_given_up < start + time_left / 2);
+  CHECK_COMPARE(
+      delivered * kLargeBytes, >=,
+      static_cast<std::size_t>(0.7 * Seconds(time_left) * kBytesPerSecond));
+}
+
 }  // namespace figlug::runtime
