Refuse work whose answer the VM's link can't carry in time

Behind a target stands a second server: the link of its VM, which carries all answers to other processes. The gate judged work by the target's slots alone, so while more bytes were offered than the link carries, each large answer was executed, sent and too late, and the bytes for nobody kept the link full.

The gate learns the size of answers by class. Work of a class whose answers are expected to be sent in fragments is refused as kOverloaded when it arrives, while it waits and before it is dispatched, if what is queued for the link, the answers of work at the target and of queued work before it, and its own would end after its deadline at the link's rate. An unknown rate or size refuses nothing, and work of the process's own ingress isn't judged: OnAttempt now says where an attempt comes from. An answer that has just been given to the link counts for the next dispatch, though the reported load hasn't it yet.

PeerTransport::link_load is a stub until the link's scheduler is wired.

--- a/core/include/figlug/core/gate.h
+++ b/core/include/figlug/core/gate.h
@@ -11,10 +11,12 @@
 
 #include "figlug/core/action.h"
 #include "figlug/core/admission.h"
+#include "figlug/core/admission/link_admission.h"
 #include "figlug/core/balance/learned_limit.h"
 #include "figlug/core/concurrency_limit.h"
 #include "figlug/core/holds.h"
 #include "figlug/core/ids.h"
+#include "figlug/core/link/link_load.h"
 #include "figlug/core/outcome.h"
 #include "figlug/core/ownership.h"
 #include "figlug/core/pacer.h"
@@ -47,6 +49,16 @@
   std::string_view m_target{};
   /// Service of the target.
   std::string_view m_service{};
+  /// What waits for the link that carries answers to other processes.
+  LinkLoad m_link{};
+};
+
+/// \brief Where an attempt comes from, and its answer goes.
+enum class AttemptOrigin : std::uint8_t {
+  /// The ingress of this process.
+  kOwnIngress,
+  /// Another process, which the VM's link leads to.
+  kPeer,
 };
 
 /// \brief What a target says about itself in an answer.
@@ -64,6 +76,8 @@
   Reason m_reason = Reason::kNone;
   /// Unset where there is no answer, or the answer may be another target's.
   std::optional<TargetNotice> m_notice;
+  /// Size of the answer's body.
+  std::size_t m_body_bytes = 0;
 };
 
 /// \brief Admission control for the one target beside this process.
@@ -72,7 +86,7 @@
 /// target cannot take yet, and refuses what it cannot serve in time.
 ///
 /// \code
-/// gate.Admit(now, work, head, view, actions);
+/// gate.Admit(now, work, head, AttemptOrigin::kPeer, view, actions);
 /// gate.OnTargetResult(now, work, result, view, actions);
 /// \endcode
 class Gate {
@@ -83,6 +97,7 @@
   void Admit(Time now,
              WorkId work,
              const AttemptHead& head,
+             AttemptOrigin from,
              const GateView& view,
              Actions& out);
   void OnTargetResult(Time now,
@@ -140,6 +155,9 @@
     Time m_dispatched_at{};
     /// Work at the target when this was dispatched, this included.
     std::uint32_t m_running_at_dispatch = 0;
+    AttemptOrigin m_from = AttemptOrigin::kOwnIngress;
+    /// Expected size of a large answer that the link will carry; otherwise 0.
+    std::size_t m_link_bytes = 0;
   };
 
   /// Sort key of the queue: by priority, then by the end of the allowed wait,
@@ -180,14 +198,14 @@
     std::uint32_t m_count = 0;
     /// Sum of its expected service times.
     Duration m_service_time{};
+    /// Sum of the expected sizes of its large answers.
+    std::size_t m_link_bytes = 0;
   };
   void Add(const Work& work, QueueAhead& ahead) const;
   [[nodiscard]] Duration MaxQueueWait(Time now,
                                       const AttemptHead& head,
                                       const GateView& view) const;
-  [[nodiscard]] Duration ExpectedWait(Time now,
-                                      const QueueKey& key,
-                                      const GateView& view) const;
+  [[nodiscard]] QueueAhead AheadOf(const QueueKey& key) const;
   [[nodiscard]] Duration ExpectedWait(Time now,
                                       const QueueAhead& ahead,
                                       const GateView& view) const;
@@ -196,6 +214,11 @@
                                const Work& work,
                                const QueueAhead& ahead,
                                const GateView& view) const;
+  /// Whether the link is expected to carry the answer after the deadline.
+  [[nodiscard]] bool IsTooLateForLink(Time now,
+                                      const Work& work,
+                                      const QueueAhead& ahead,
+                                      const GateView& view) const;
   void Dispatch(Time now,
                 WorkId id,
                 Work& work,
@@ -203,6 +226,8 @@
                 Actions& out);
   void Refuse(WorkId id, Reason reason, const GateView& view, Actions& out);
   void DispatchQueued(Time now, const GateView& view, Actions& out);
+  /// Counts the work as no longer at the target.
+  void RemoveRunning(const Work& work);
   void ObserveCapacity(Time now, const Work& work, const GateView& view);
   /// Counts the slice as busy until the deadline of the work.
   static void KeepBusyUntilDeadline(const Work& work,
@@ -213,6 +238,7 @@
   std::uint64_t m_last_order = 0;
   std::uint32_t m_running = 0;
   ServiceTimes m_service_times;
+  LinkAdmission m_link;
   /// When work was last dispatched without waiting in the queue.
   Time m_last_free_at{};
   SliceWorkTracker m_slice_work;
--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -189,10 +189,17 @@
     HandlePeerMessage(now, message);
     Deliver(sink);
   }
+  /// \brief What waits for the link of this process's VM, which counts from
+  /// the next event on.
+  void OnLinkLoad(const LinkLoad& load) noexcept { m_link_load = load; }
   /// \brief An attempt from an ingress, which may be this process.
   template <ActionSink Sink>
-  void OnAttempt(Now now, WorkId work, const AttemptHead& head, Sink&& sink) {
-    m_gate.Admit(now.m_time, work, head, ViewForGate(now), m_actions);
+  void OnAttempt(Now now,
+                 WorkId work,
+                 const AttemptHead& head,
+                 AttemptOrigin from,
+                 Sink&& sink) {
+    m_gate.Admit(now.m_time, work, head, from, ViewForGate(now), m_actions);
     Deliver(sink);
   }
   template <ActionSink Sink>
@@ -486,6 +493,7 @@
   LeaseWatcher m_watcher;
   Ownership m_ownership;
   Gate m_gate;
+  LinkLoad m_link_load;
   Ingress m_ingress;
   Freshness m_freshness;
   Freshness m_log_freshness;
--- a/core/src/gate.cc
+++ b/core/src/gate.cc
@@ -20,6 +20,7 @@
 void Gate::Admit(Time now,
                  WorkId id,
                  const AttemptHead& head,
+                 AttemptOrigin from,
                  const GateView& view,
                  Actions& out) {
   const auto [it, is_new] = m_work.try_emplace(id);
@@ -32,14 +33,21 @@
   work.m_deadline = now + head.m_time_left;
   work.m_max_wait = MaxQueueWait(now, head, view);
   work.m_queued_until = now + work.m_max_wait;
+  work.m_from = from;
+  if (from == AttemptOrigin::kPeer) {
+    work.m_link_bytes = m_link.ExpectedBytes(ClassOf(head));
+  }
   if (const Reason reason = Check(now, work, view); reason != Reason::kNone) {
     Refuse(id, reason, view, out);
     return;
   }
   m_limit.SetBounds({view.m_profile.m_cold_limit, view.m_profile.m_max_limit});
-  const bool is_first =
-      m_queue.empty() || QueueKeyOf(id, work) < *m_queue.begin();
-  if (!IsWaitingForSlice(now, work, view) && is_first &&
+  const QueueAhead ahead = AheadOf(QueueKeyOf(id, work));
+  if (IsTooLateForLink(now, work, ahead, view)) {
+    Refuse(id, Reason::kOverloaded, view, out);
+    return;
+  }
+  if (!IsWaitingForSlice(now, work, view) && ahead.m_count == 0 &&
       HasCapacity(now, view)) {
     m_last_free_at = now;
     Dispatch(now, id, work, view, out);
@@ -47,8 +55,7 @@
   }
   const bool is_too_late =
       head.m_max_queue_wait > Duration::zero() &&
-      now + ExpectedWait(now, QueueKeyOf(id, work), view) >=
-          work.m_queued_until;
+      now + ExpectedWait(now, ahead, view) >= work.m_queued_until;
   if (is_too_late || m_queue.size() >= view.m_profile.m_queue_length) {
     Refuse(id, Reason::kOverloaded, view, out);
     return;
@@ -105,19 +112,18 @@
 }
 
 // Only the work that precedes it in the queue delays a piece of work.
-Duration Gate::ExpectedWait(Time now,
-                            const QueueKey& key,
-                            const GateView& view) const {
+Gate::QueueAhead Gate::AheadOf(const QueueKey& key) const {
   QueueAhead ahead;
   for (auto it = m_queue.begin(); it != m_queue.end() && *it < key; ++it) {
     Add(m_work.at(it->m_work), ahead);
   }
-  return ExpectedWait(now, ahead, view);
+  return ahead;
 }
 
 void Gate::Add(const Work& work, QueueAhead& ahead) const {
   ++ahead.m_count;
   ahead.m_service_time += m_service_times.Expected(ClassOf(work.m_head));
+  ahead.m_link_bytes += work.m_link_bytes;
 }
 
 Duration Gate::ExpectedWait(Time now,
@@ -218,6 +224,7 @@
     m_limit_pacer.Take(now, view.m_capacity.m_rate_limit);
   }
   work.m_running_at_dispatch = ++m_running;
+  m_link.OnDispatched(work.m_link_bytes);
   ++m_running_by_slice[head.m_slice];
   const Position epoch =
       IsSliced(view.m_profile) ? view.m_ownership.EpochOf(head.m_slice) : 0;
@@ -254,6 +261,10 @@
     case Outcome::kAnswered:
       m_limit.OnSuccess(now, now - work.m_dispatched_at, m_running);
       m_service_times.Observe(ClassOf(work.m_head), now - work.m_dispatched_at);
+      // An error says nothing about the size of other answers.
+      if (result.m_reason == Reason::kNone) {
+        m_link.ObserveAnswer(ClassOf(work.m_head), result.m_body_bytes);
+      }
       ObserveCapacity(now, work, view);
       m_slice_work.Add(now, work.m_head.m_slice, now - work.m_dispatched_at);
       break;
@@ -276,9 +287,10 @@
                                       : m_abandoned);
       break;
   }
-  --m_running;
-  if (--m_running_by_slice[work.m_head.m_slice] == 0) {
-    m_running_by_slice.erase(work.m_head.m_slice);
+  RemoveRunning(work);
+  GateView next_view = view;
+  if (work.m_from == AttemptOrigin::kPeer) {
+    next_view.m_link = WithMessage(view.m_link, result.m_body_bytes);
   }
   if (result.m_outcome == Outcome::kNotRun) {
     Refuse(id, result.m_reason, view, out);
@@ -291,7 +303,15 @@
         FinishAttempt{id, result.m_outcome, result.m_reason, load});
     m_work.erase(it);
   }
-  DispatchQueued(now, view, out);
+  DispatchQueued(now, next_view, out);
+}
+
+void Gate::RemoveRunning(const Work& work) {
+  --m_running;
+  m_link.OnEnded(work.m_link_bytes);
+  if (--m_running_by_slice[work.m_head.m_slice] == 0) {
+    m_running_by_slice.erase(work.m_head.m_slice);
+  }
 }
 
 // Work beside which others began or ended ran beside about the mean of both
@@ -316,10 +336,7 @@
   if (work.m_running) {
     out.emplace_back(CancelWork{id});
     KeepBusyUntilDeadline(work, m_abandoned);
-    --m_running;
-    if (--m_running_by_slice[work.m_head.m_slice] == 0) {
-      m_running_by_slice.erase(work.m_head.m_slice);
-    }
+    RemoveRunning(work);
   } else {
     m_queue.erase(QueueKeyOf(id, work));
   }
@@ -364,7 +381,8 @@
     Work& work = m_work.at(id);
     const Reason reason = Check(now, work, view);
     if (reason != Reason::kNone || now >= work.m_queued_until ||
-        (is_full && IsTooLate(now, work, ahead, view))) {
+        (is_full && IsTooLate(now, work, ahead, view)) ||
+        IsTooLateForLink(now, work, ahead, view)) {
       it = m_queue.erase(it);
       Refuse(id, reason != Reason::kNone ? reason : Reason::kOverloaded, view,
              out);
@@ -395,6 +413,17 @@
   return now + ExpectedWait(now, ahead, view) > work.m_queued_until + slack;
 }
 
+bool Gate::IsTooLateForLink(Time now,
+                            const Work& work,
+                            const QueueAhead& ahead,
+                            const GateView& view) const {
+  return m_link.IsTooLate(
+      now,
+      {work.m_deadline, m_service_times.Expected(ClassOf(work.m_head)),
+       work.m_link_bytes, ahead.m_link_bytes},
+      view.m_link);
+}
+
 bool Gate::IsBusy(Time now, SliceIndex slice) const {
   if (m_running_by_slice.contains(slice)) {
     return true;
--- a/core/src/node.cc
+++ b/core/src/node.cc
@@ -845,7 +845,8 @@
                                  : m_state.ProfileOf(self.m_service),
                 .m_ownership = m_ownership,
                 .m_closed_reason = ClosedReason(now.m_time),
-                .m_service = self.m_service};
+                .m_service = self.m_service,
+                .m_link = m_link_load};
   if (m_settings.m_is_routed) {
     view.m_capacity = m_target.m_capacity;
     view.m_holds = &m_holds;
--- a/core/tests/routed_node.h
+++ b/core/tests/routed_node.h
@@ -135,9 +135,17 @@
   }
   WorkId Attempt(const AttemptHead& head) {
     const WorkId work{++m_last_work};
-    m_node.OnAttempt(At(), work, head, Sink());
+    m_node.OnAttempt(At(), work, head, AttemptOrigin::kPeer, Sink());
     return work;
   }
+  /// \brief Delivers an attempt of this node's own ingress.
+  WorkId OwnAttempt(const AttemptHead& head) {
+    const WorkId work{++m_last_work};
+    m_node.OnAttempt(At(), work, head, AttemptOrigin::kOwnIngress, Sink());
+    return work;
+  }
+  /// \brief The ingress no longer waits for the result of work.
+  void Withdraw(WorkId work) { m_node.OnWorkCancelled(At(), work, Sink()); }
   /// \brief Delivers a gate's result for an attempt of this node.
   void EndAttempt(AttemptId attempt, Outcome outcome, Reason reason) {
     m_node.OnAttemptEnd(At(), attempt, outcome, reason, Sink());
--- a/core/tests/simulation.cc
+++ b/core/tests/simulation.cc
@@ -530,11 +530,14 @@
     return;
   }
   ScheduleOn(*to, from == *to ? 0 : Delay(),
-             [this, to = *to, origin, head = action.m_head] {
+             [this, from, to = *to, origin, head = action.m_head] {
                const auto work = WorkId(m_processes[to].m_next_work++);
                m_work[{to, work}] = origin;
                Deliver(to, [&](Node& node, Now now, auto sink) {
-                 node.OnAttempt(now, work, head, sink);
+                 node.OnAttempt(now, work, head,
+                                from == to ? AttemptOrigin::kOwnIngress
+                                           : AttemptOrigin::kPeer,
+                                sink);
                });
              });
 }
--- a/examples/core_example.cc
+++ b/examples/core_example.cc
@@ -34,7 +34,7 @@
   }
   AttemptHead head{
       "orders", SliceOf("coupling-1"), {}, false, std::chrono::seconds(1)};
-  node.OnAttempt(now, WorkId{1}, head, handle_action);
+  node.OnAttempt(now, WorkId{1}, head, AttemptOrigin::kPeer, handle_action);
   std::printf("owns %u slices\n", node.ownership().owned_count());
   return node.ownership().owned_count() == kDefaultSlicesPerService ? 0 : 1;
 }
--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -72,7 +72,9 @@
     auto sink = [this](core::Action&& action) {
       PerformAction(std::move(action));
     };
-    event(ReadClocks(), sink);
+    const core::Now now = ReadClocks();
+    m_node.OnLinkLoad(m_peers.link_load(now.m_time));
+    event(now, sink);
     ArmTimer();
   }
   /// \brief Sets the handler of operator updates that a peer has read from the
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -509,9 +509,12 @@
   work.m_started = ReadClocks();
   const core::WorkId id{++m_last_work_id};
   const core::AttemptHead head = work.m_head;
+  const core::AttemptOrigin from = work.m_peer
+                                       ? core::AttemptOrigin::kPeer
+                                       : core::AttemptOrigin::kOwnIngress;
   m_work.emplace(id, std::move(work));
   HandleEvent([&](core::Now now, auto& sink) {
-    m_node.OnAttempt(now, id, head, sink);
+    m_node.OnAttempt(now, id, head, from, sink);
   });
 }
 
@@ -633,6 +636,7 @@
     if (target_result.m_notice) {
       target_result.m_notice->m_target = it->second.m_target;
     }
+    target_result.m_body_bytes = result->m_body.size();
     it->second.m_response = std::move(*result);
   }
   HandleEvent([&](core::Now now, auto& sink) {
--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -9,6 +9,8 @@
 
 #include "figlug/core/endpoint.h"
 #include "figlug/core/ids.h"
+#include "figlug/core/link/link_load.h"
+#include "figlug/core/time.h"
 #include "figlug/runtime/buffer_meter.h"
 #include "figlug/runtime/event_loop.h"
 #include "figlug/runtime/runtime_error.h"
@@ -91,6 +93,9 @@
   /// \brief What stands before the next reply on a connection that a peer
   /// opened. Asks the system about each connection.
   [[nodiscard]] PeerBacklog BacklogOf(PeerConnectionId to) const;
+  /// \brief What waits for the link that all connections share.
+  // Replaced at the merge.
+  [[nodiscard]] core::LinkLoad link_load(core::Time) const { return {}; }
   /// \brief Bytes sent to peers since the start.
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
 
