--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -110,9 +110,6 @@
   /// \brief What stands before the next reply on a connection that a peer
   /// opened. Asks the system about each connection.
   [[nodiscard]] PeerBacklog BacklogOf(PeerConnectionId to) const;
-  /// \brief What waits for the link that all connections share.
-  // Replaced at the merge.
-  [[nodiscard]] core::LinkLoad link_load(core::Time) const { return {}; }
   /// \brief Bytes sent to peers since the start.
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
 
