Log silent and lost attempts at their ingress

No line told that an attempt had been silent, or that its connection had ended, so that the cause could only be read from the code.

`attempt-silent`, `attempt-lost` and `attempt-unsent` name the request and the attempt, which `routed` names as well. No decision changes.

--- a/runtime/include/figlug/runtime/daemon.h
+++ b/runtime/include/figlug/runtime/daemon.h
@@ -140,6 +140,8 @@
   void OnReply(wire::ReplyFrame&& frame);
   void OnAttemptLost(core::AttemptId attempt, bool was_sent);
   void OnAttemptSilent(core::AttemptId attempt);
+  /// \brief Writes an event of an attempt at its ingress to the decision log.
+  void LogAttempt(std::string_view event, core::AttemptId attempt);
   void OnPeerClosed(PeerConnectionId peer);
   void OnTargetDone(core::WorkId id, HttpClient::Result&& result);
   void OnHoldCallDone(core::HoldCallId id, HttpClient::Result&& result);
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -560,6 +560,7 @@
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::OnAttemptLost(core::AttemptId attempt,
                                              bool was_sent) {
+  LogAttempt(was_sent ? "attempt-lost" : "attempt-unsent", attempt);
   EndAttempt(
       attempt, was_sent ? core::Outcome::kUnknown : core::Outcome::kNotRun,
       was_sent ? core::Reason::kPeerLost : core::Reason::kPeerUnreachable, {});
@@ -567,11 +568,29 @@
 
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::OnAttemptSilent(core::AttemptId attempt) {
+  LogAttempt("attempt-silent", attempt);
   HandleEvent([&](core::Now now, auto& sink) {
     m_node.OnAttemptSilent(now, attempt, sink);
   });
 }
 
+template <LogService Log, Dialect DialectType>
+void Daemon<Log, DialectType>::LogAttempt(std::string_view event,
+                                          core::AttemptId attempt) {
+  const auto it = m_attempts.find(attempt);
+  const auto call =
+      it == m_attempts.end() ? m_calls.end() : m_calls.find(it->second);
+  if (call == m_calls.end()) {
+    return;
+  }
+  const core::Time now = ReadClocks().m_time;
+  m_decisions.Write(
+      now, event,
+      {{"request", m_dialect.RequestIdOf(*call->second.m_request)},
+       {"attempt", static_cast<std::uint64_t>(attempt)},
+       {"taken_ms", impl::ToMillis(now - call->second.m_started.m_time)}});
+}
+
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::EndAttempt(core::AttemptId attempt,
                                           core::Outcome outcome,
@@ -667,6 +686,7 @@
   const core::RouteBasis& basis = action.m_basis;
   m_decisions.Write(ReadClocks().m_time, "routed",
                     {{"request", m_dialect.RequestIdOf(*request)},
+                     {"attempt", static_cast<std::uint64_t>(action.m_attempt)},
                      {"service", action.m_head.m_service},
                      {"slice", action.m_head.m_slice},
                      {"member", ToString(action.m_member)},
