--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -214,6 +214,11 @@
     LatencyWindow m_latencies{std::chrono::seconds(2)};
   };
 
+  [[nodiscard]] static SliceIndex SliceOfCall(const Profile& profile,
+                                              const CallHead& head,
+                                              const RequestId& id);
+  [[nodiscard]] static const Profile& ProfileOf(const Call& call,
+                                                const IngressView& view);
   void TryNext(Time now,
                CallId id,
                Call& call,
@@ -235,7 +240,6 @@
   [[nodiscard]] bool MayRepeat(Time now,
                                const Call& call,
                                const IngressView& view);
-  static void RecordFailure(Time now, TargetView& target);
   void RecordOutcome(Time now,
                      const Attempt& attempt,
                      const Call& call,
--- a/core/include/figlug/core/target_view.h
+++ b/core/include/figlug/core/target_view.h
@@ -25,6 +25,12 @@
   Time m_load_reported_at = Time::min();
 };
 
+/// \brief Adds one attempt to the smoothed ratio of failures.
+void CountAttempt(TargetView& target, bool is_failure) noexcept;
+
+/// \brief Ejects the target for a while after several failures in a row.
+void RecordFailure(Time now, TargetView& target) noexcept;
+
 /// \brief Reports whether a gate's last load report is recent.
 [[nodiscard]] bool IsLoadFresh(const TargetView& target, Time now) noexcept;
 
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -8,8 +8,6 @@
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(5);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(80);
 constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(5);
-constexpr Duration kEjectionTime = std::chrono::milliseconds(1000);
-constexpr std::uint32_t kConsecutiveFailuresToEject = 3;
 constexpr std::uint32_t kMinHedgeSamples = 20;
 constexpr double kHedgeQuantile = 0.95;
 constexpr double kLatencySmoothingFactor = 0.2;
@@ -26,8 +24,6 @@
 /// Minimum gain from the other region when the target latency is unknown,
 /// microseconds.
 constexpr double kMinCrossRegionGainUs = 300'000;
-/// Weight of one attempt in the smoothed failure ratio.
-constexpr double kFailureSmoothingFactor = 0.1;
 /// Share of the remaining time that a request may wait in a gate's queue.
 constexpr double kMaxQueueWaitRatio = 0.6;
 /// Gates that may reject one call because no slot is free. When that many are
@@ -60,20 +56,6 @@
          reason == Reason::kCancelled;
 }
 
-// Keyless requests that may run only once are assigned to slices by request id.
-SliceIndex SliceOfCall(const Profile& profile,
-                       const CallHead& head,
-                       const RequestId& id) {
-  return SliceOf(profile.m_keyed ? head.m_key : ToString(id));
-}
-
-const Profile& ProfileOf(const std::shared_ptr<const Route>& route,
-                         const CallHead& head,
-                         const IngressView& view) {
-  return route != nullptr ? route->m_profile
-                          : view.m_state.ProfileOf(head.m_service);
-}
-
 double MinExpectedAnswer(const std::vector<TargetCandidate>& candidates) {
   return std::ranges::min_element(candidates, {},
                                   &TargetCandidate::m_expected_answer_us)
@@ -124,6 +106,19 @@
 
 }  // namespace
 
+// Keyless requests that may run only once are assigned to slices by request id.
+SliceIndex Ingress::SliceOfCall(const Profile& profile,
+                                const CallHead& head,
+                                const RequestId& id) {
+  return SliceOf(profile.m_keyed ? head.m_key : ToString(id));
+}
+
+const Profile& Ingress::ProfileOf(const Call& call, const IngressView& view) {
+  return call.m_route != nullptr
+             ? call.m_route->m_profile
+             : view.m_state.ProfileOf(call.m_head.m_service);
+}
+
 void Ingress::OnCall(Time now,
                      WallTime wall,
                      CallId id,
@@ -237,7 +232,7 @@
     return;
   }
   Send(now, id, call, *member, view, out);
-  const Profile& profile = ProfileOf(call.m_route, call.m_head, view);
+  const Profile& profile = ProfileOf(call, view);
   if (profile.m_repeatable && !call.m_is_sliced &&
       profile.m_hedge_percent > 0 && call.m_attempts == 1) {
     LatencyWindow& seen = m_services[call.m_head.m_service].m_latencies;
@@ -460,45 +455,6 @@
   }
 }
 
-// The reply may still come, so a call that could only fail waits for it. The
-// target counts as failing meanwhile, so that new calls avoid it.
-void Ingress::OnAttemptSilent(Time now,
-                              AttemptId id,
-                              const IngressView& view,
-                              Actions& out) {
-  const auto it = m_attempts.find(id);
-  if (it == m_attempts.end()) {
-    return;
-  }
-  const Call& call = m_calls.at(it->second.m_call);
-  if (call.m_open_attempts.size() == 1 && !MayRepeat(now, call, view)) {
-    TargetView& target = m_targets[it->second.m_member];
-    target.m_failure_ratio +=
-        kFailureSmoothingFactor * (1 - target.m_failure_ratio);
-    RecordFailure(now, target);
-    return;
-  }
-  out.emplace_back(CancelAttempt{id, it->second.m_to});
-  OnAttemptEnd(now, id, Outcome::kUnknown, Reason::kPeerLost, view, out);
-}
-
-bool Ingress::MayRepeat(Time now, const Call& call, const IngressView& view) {
-  const Profile& profile = ProfileOf(call.m_route, call.m_head, view);
-  if (!profile.m_repeatable || now >= call.m_deadline ||
-      now >= view.m_stop.m_no_attempts_from) {
-    return false;
-  }
-  const bool has_token =
-      m_services[call.m_head.m_service].m_retry_budget.has_token();
-  if (call.m_route != nullptr) {
-    return has_token &&
-           call.m_delivered_attempts + 1 < profile.m_max_attempts &&
-           Choose(now, call, view) != nullptr;
-  }
-  return now < call.m_started + profile.m_queue_wait ||
-         (has_token && call.m_attempts < profile.m_max_attempts);
-}
-
 // Passes a target's error response on, unless another target can be tried. The
 // response is kept in case no other target answers.
 void Ingress::HandleAnswered(Time now,
@@ -546,13 +502,6 @@
   }
 }
 
-void Ingress::RecordFailure(Time now, TargetView& target) {
-  if (++target.m_consecutive_failures >= kConsecutiveFailuresToEject) {
-    target.m_ejected_until = now + kEjectionTime;
-    target.m_consecutive_failures = 0;
-  }
-}
-
 void Ingress::RecordOutcome(Time now,
                             const Attempt& attempt,
                             const Call& call,
@@ -564,8 +513,7 @@
       reason == Reason::kTargetShed || reason == Reason::kTargetFailed ||
       reason == Reason::kTargetUnreachable ||
       reason == Reason::kPeerUnreachable || reason == Reason::kPeerLost;
-  target.m_failure_ratio +=
-      kFailureSmoothingFactor * ((is_failure ? 1 : 0) - target.m_failure_ratio);
+  CountAttempt(target, is_failure);
   if (outcome == Outcome::kAnswered) {
     const Duration latency = now - attempt.m_sent_at;
     const auto us = static_cast<double>(latency.count());
@@ -670,7 +618,7 @@
   if (!call.m_open_attempts.empty()) {
     return;
   }
-  const Profile& profile = ProfileOf(call.m_route, call.m_head, view);
+  const Profile& profile = ProfileOf(call, view);
   ++call.m_delivered_attempts;
   if (call.m_route != nullptr) {
     if (profile.m_repeatable && now < call.m_deadline &&
@@ -800,40 +748,4 @@
   return m_timers.empty() ? kNever : m_timers.begin()->first;
 }
 
-RouteExplanation Ingress::Explain(Time now,
-                                  const CallHead& head,
-                                  const IngressView& view) {
-  RouteExplanation why;
-  why.m_reason = Screen(now, head, view);
-  const Service* service = view.m_state.FindService(head.m_service);
-  if (service == nullptr) {
-    return why;
-  }
-  const Profile& profile = view.m_state.ProfileOf(head.m_service);
-  why.m_profile = service->m_profile;
-  if (const auto* published = view.m_state.FindProfile(service->m_profile)) {
-    why.m_profile_version = published->m_version;
-  }
-  if (IsSliced(profile)) {
-    why.m_slice =
-        SliceOfCall(profile, head, head.m_caller_id.value_or(RequestId{}));
-    const Slice& slice = service->m_slices[*why.m_slice];
-    why.m_epoch = slice.m_epoch;
-    if (slice.m_owner != kNoMember) {
-      why.m_members.push_back(slice.m_owner);
-    }
-  } else {
-    for (const auto& [id, member] : view.m_state.members()) {
-      if (member.m_info.m_service == head.m_service &&
-          view.m_state.IsEligible(member)) {
-        why.m_members.push_back(id);
-      }
-    }
-  }
-  if (why.m_members.empty() && why.m_reason == Reason::kNone) {
-    why.m_reason = Reason::kNoTarget;
-  }
-  return why;
-}
-
 }  // namespace figlug::core
--- a/core/src/target_view.cc
+++ b/core/src/target_view.cc
@@ -15,9 +15,25 @@
 constexpr double kFullLoadSlowdownRatio = 0.5;
 /// Time added to the estimate at a failure ratio of 1, microseconds.
 constexpr double kFailureCostUs = 500'000;
+/// Weight of one attempt in the smoothed failure ratio.
+constexpr double kFailureSmoothingFactor = 0.1;
+constexpr Duration kEjectionTime = std::chrono::milliseconds(1000);
+constexpr std::uint32_t kConsecutiveFailuresToEject = 3;
 
 }  // namespace
 
+void CountAttempt(TargetView& target, bool is_failure) noexcept {
+  target.m_failure_ratio +=
+      kFailureSmoothingFactor * ((is_failure ? 1 : 0) - target.m_failure_ratio);
+}
+
+void RecordFailure(Time now, TargetView& target) noexcept {
+  if (++target.m_consecutive_failures >= kConsecutiveFailuresToEject) {
+    target.m_ejected_until = now + kEjectionTime;
+    target.m_consecutive_failures = 0;
+  }
+}
+
 bool IsLoadFresh(const TargetView& target, Time now) noexcept {
   return target.m_load_reported_at != Time::min() &&
          now < target.m_load_reported_at + kMaxLoadAge;
