Send a second attempt beside a silent one instead of ending it

Change: silence ends nothing. If all open attempts are silent, another is sent beside them, within max_attempts and the retry budget, to a member that has not been tried. The first answer wins and cancels the others; the call ends with its last attempt or at its deadline. An attempt that arrived counts toward max_attempts as it ends, also beside an open one, and open ones count as arrived. One that only a gate rejected is replaced without another token. A target's error response waits for the open attempts and is passed on if none of them answers.

--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -133,8 +133,8 @@
                     const IngressView& view,
                     Actions& out);
   /// \brief The connection of an open attempt has been silent, and its gate
-  /// may be standing still. Ends the attempt if the call can go on elsewhere;
-  /// otherwise the call waits for the reply.
+  /// may be standing still. Sends another beside it if the call may be repeated
+  /// and a target is left; the first answer ends the call.
   void OnAttemptSilent(Time now,
                        AttemptId attempt,
                        const IngressView& view,
@@ -177,7 +177,11 @@
     /// another id, while its process still has the attempt.
     Endpoint m_to;
     Time m_sent_at{};
+    /// Its connection has been silent since it was sent.
+    bool m_is_silent = false;
   };
+  /// What an attempt beside others takes from the retry budget.
+  enum class RetryCost : std::uint8_t { kNone, kToken };
   struct Call {
     CallHead m_head;
     /// Set only when operators configure routes.
@@ -236,10 +240,25 @@
             const Member& member,
             const IngressView& view,
             Actions& out);
-  /// \brief Whether a call whose only attempt may have run can be sent again.
-  [[nodiscard]] bool MayRepeat(Time now,
-                               const Call& call,
-                               const IngressView& view);
+  /// \brief Sends an attempt beside the open ones if all of them are silent.
+  void SendBeside(Time now,
+                  CallId id,
+                  Call& call,
+                  RetryCost cost,
+                  const IngressView& view,
+                  Actions& out);
+  /// \brief Whether one more attempt keeps to the limit of attempts that reach
+  /// a target.
+  [[nodiscard]] static bool MayArriveAgain(const Call& call,
+                                           const Profile& profile);
+  /// \brief Takes a retry from the service's budget.
+  /// \returns Whether the call may be sent again.
+  [[nodiscard]] bool WithdrawRetry(Time now,
+                                   const Call& call,
+                                   const Profile& profile);
+  /// \brief Counts a gate that is full.
+  /// \returns Whether others may be asked.
+  static bool CountFullGate(Call& call, Reason reason);
   void RecordOutcome(Time now,
                      const Attempt& attempt,
                      const Call& call,
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -56,6 +56,12 @@
          reason == Reason::kCancelled;
 }
 
+// Whether an attempt that has ended reached a target, or may have reached one.
+bool HasArrived(Outcome outcome, Reason reason) {
+  return outcome != Outcome::kNotRun || reason == Reason::kTargetShed ||
+         reason == Reason::kTargetMisdirected;
+}
+
 double MinExpectedAnswer(const std::vector<TargetCandidate>& candidates) {
   return std::ranges::min_element(candidates, {},
                                   &TargetCandidate::m_expected_answer_us)
@@ -441,6 +447,7 @@
   m_attempts.erase(it);
   Call& call = m_calls.at(attempt.m_call);
   std::erase(call.m_open_attempts, id);
+  call.m_delivered_attempts += HasArrived(outcome, reason) ? 1 : 0;
   RecordOutcome(now, attempt, call, outcome, reason);
   switch (outcome) {
     case Outcome::kAnswered:
@@ -464,10 +471,15 @@
                              Reason reason,
                              const IngressView& view,
                              Actions& out) {
-  ++call.m_delivered_attempts;
-  if (reason == Reason::kTargetError && call.m_route != nullptr &&
-      !call.m_is_sliced && call.m_open_attempts.empty() &&
-      call.m_route->m_profile.m_repeatable &&
+  const bool may_repeat = reason == Reason::kTargetError &&
+                          call.m_route != nullptr && !call.m_is_sliced &&
+                          call.m_route->m_profile.m_repeatable;
+  if (may_repeat && !call.m_open_attempts.empty()) {
+    call.m_fallback_answer = attempt;
+    SendBeside(now, id, call, RetryCost::kToken, view, out);
+    return;
+  }
+  if (may_repeat &&
       call.m_delivered_attempts < call.m_route->m_profile.m_max_attempts &&
       Choose(now, call, view) != nullptr &&
       m_services[call.m_head.m_service].m_retry_budget.Withdraw()) {
@@ -541,6 +553,13 @@
                            Actions& out) {
   call.m_last_reason = reason;
   if (!call.m_open_attempts.empty()) {
+    // An attempt that only a gate rejected leaves its retry to the next one.
+    const RetryCost cost = HasArrived(Outcome::kNotRun, reason)
+                               ? RetryCost::kToken
+                               : RetryCost::kNone;
+    if (!IsFinal(reason) && CountFullGate(call, reason)) {
+      SendBeside(now, id, call, cost, view, out);
+    }
     return;
   }
   if (call.m_route != nullptr) {
@@ -566,6 +585,12 @@
   Finish(id, outcome, reason, AttemptId{0}, out);
 }
 
+bool Ingress::CountFullGate(Call& call, Reason reason) {
+  call.m_full_gates += reason == Reason::kOverloaded ? 1 : 0;
+  return call.m_full_gates <
+         (call.m_is_cross_region ? kMaxFullGatesCrossRegion : kMaxFullGates);
+}
+
 // A request that a gate rejected has not reached a target, so another may be
 // tried at once. A request that a target rejected counts as delivered.
 void Ingress::HandleRoutedNotRun(Time now,
@@ -576,13 +601,8 @@
                                  Actions& out) {
   const Profile& profile = call.m_route->m_profile;
   if (!IsFinal(reason) && now < call.m_deadline) {
-    call.m_full_gates += reason == Reason::kOverloaded ? 1 : 0;
-    const bool is_searching =
-        call.m_full_gates <
-        (call.m_is_cross_region ? kMaxFullGatesCrossRegion : kMaxFullGates);
-    const bool is_arrival =
-        reason == Reason::kTargetShed || reason == Reason::kTargetMisdirected;
-    call.m_delivered_attempts += is_arrival ? 1 : 0;
+    const bool is_searching = CountFullGate(call, reason);
+    const bool is_arrival = HasArrived(Outcome::kNotRun, reason);
     const bool may_arrive =
         !is_arrival ||
         (call.m_delivered_attempts < profile.m_max_attempts &&
@@ -616,10 +636,10 @@
   call.m_may_have_run = true;
   call.m_last_reason = reason;
   if (!call.m_open_attempts.empty()) {
+    SendBeside(now, id, call, RetryCost::kToken, view, out);
     return;
   }
   const Profile& profile = ProfileOf(call, view);
-  ++call.m_delivered_attempts;
   if (call.m_route != nullptr) {
     if (profile.m_repeatable && now < call.m_deadline &&
         call.m_delivered_attempts < profile.m_max_attempts &&
--- a/core/src/ingress_silence.cc
+++ b/core/src/ingress_silence.cc
@@ -1,9 +1,11 @@
+#include <algorithm>
+
 #include "figlug/core/ingress.h"
 
 namespace figlug::core {
 
-// The reply may still come, so a call that could only fail waits for it. The
-// target counts as failing meanwhile, so that new calls avoid it.
+// The reply may still come, so silence ends no attempt. The target counts as
+// failing meanwhile, so that new calls avoid it.
 void Ingress::OnAttemptSilent(Time now,
                               AttemptId id,
                               const IngressView& view,
@@ -12,32 +14,62 @@
   if (it == m_attempts.end()) {
     return;
   }
-  const Call& call = m_calls.at(it->second.m_call);
-  if (call.m_open_attempts.size() == 1 && !MayRepeat(now, call, view)) {
-    TargetView& target = m_targets[it->second.m_member];
-    CountAttempt(target, true);
-    RecordFailure(now, target);
-    return;
-  }
-  out.emplace_back(CancelAttempt{id, it->second.m_to});
-  OnAttemptEnd(now, id, Outcome::kUnknown, Reason::kPeerLost, view, out);
+  Attempt& attempt = it->second;
+  attempt.m_is_silent = true;
+  TargetView& target = m_targets[attempt.m_member];
+  CountAttempt(target, true);
+  RecordFailure(now, target);
+  const CallId call = attempt.m_call;
+  SendBeside(now, call, m_calls.at(call), RetryCost::kToken, view, out);
 }
 
-bool Ingress::MayRepeat(Time now, const Call& call, const IngressView& view) {
+// A call that can send no other attempt waits for those that it has.
+void Ingress::SendBeside(Time now,
+                         CallId id,
+                         Call& call,
+                         RetryCost cost,
+                         const IngressView& view,
+                         Actions& out) {
   const Profile& profile = ProfileOf(call, view);
-  if (!profile.m_repeatable || now >= call.m_deadline ||
-      now >= view.m_stop.m_no_attempts_from) {
-    return false;
+  const bool are_silent = std::ranges::all_of(
+      call.m_open_attempts,
+      [&](AttemptId open) { return m_attempts.at(open).m_is_silent; });
+  if (!are_silent || !profile.m_repeatable || now >= call.m_deadline ||
+      now >= view.m_stop.m_no_attempts_from || !MayArriveAgain(call, profile)) {
+    return;
+  }
+  const Member* member = Choose(now, call, view);
+  if (member == nullptr ||
+      std::ranges::count(call.m_tried_members, member->m_info.m_id) > 0 ||
+      (cost == RetryCost::kToken && !WithdrawRetry(now, call, profile))) {
+    return;
   }
-  const bool has_token =
-      m_services[call.m_head.m_service].m_retry_budget.has_token();
-  if (call.m_route != nullptr) {
-    return has_token &&
-           call.m_delivered_attempts + 1 < profile.m_max_attempts &&
-           Choose(now, call, view) != nullptr;
+  call.m_hedge_at = kNever;
+  Send(now, id, call, *member, view, out);
+  SetTimer(id, call);
+}
+
+// An open attempt counts as one that arrives. Where callers name services,
+// those that have ended are limited by the retry budget and the queue wait.
+bool Ingress::MayArriveAgain(const Call& call, const Profile& profile) {
+  const std::size_t ended =
+      call.m_route != nullptr ? call.m_delivered_attempts : 0;
+  return ended + call.m_open_attempts.size() < profile.m_max_attempts;
+}
+
+// Where callers name services, the first retries after a loss are free.
+bool Ingress::WithdrawRetry(Time now,
+                            const Call& call,
+                            const Profile& profile) {
+  if (call.m_route == nullptr) {
+    if (now < call.m_started + profile.m_queue_wait) {
+      return true;
+    }
+    if (call.m_attempts >= profile.m_max_attempts) {
+      return false;
+    }
   }
-  return now < call.m_started + profile.m_queue_wait ||
-         (has_token && call.m_attempts < profile.m_max_attempts);
+  return m_services[call.m_head.m_service].m_retry_budget.Withdraw();
 }
 
 }  // namespace figlug::core
--- a/core/tests/routed_node_test.cc
+++ b/core/tests/routed_node_test.cc
@@ -608,8 +608,9 @@
   CHECK(ends.size() == 1 && ends[0].m_outcome == Outcome::kAnswered);
 }
 
-// Its first attempt is cancelled, since nobody waits for it any more.
-TEST(RoutedNode, ACallThatCanBeRepeatedLeavesASilentGate) {
+// The silent gate may still answer, so its attempt is cancelled only when
+// nobody waits for it any more.
+TEST(RoutedNode, ACallThatCanBeRepeatedIsTriedBesideASilentGate) {
   RoutedNode self("catalogue");
   self.Start();
   self.Record(JoinRecord{RoutedNode::OtherMember(6, "orders"), {}});
@@ -621,11 +622,14 @@
   const SendAttempt first = self.ActionsOf<SendAttempt>().front();
   self.ClearActions();
   self.Silence(first.m_attempt);
-  const auto cancelled = self.ActionsOf<CancelAttempt>();
-  CHECK(cancelled.size() == 1 && cancelled[0].m_attempt == first.m_attempt);
+  CHECK(self.ActionsOf<CancelAttempt>().empty());
   const auto sent = self.ActionsOf<SendAttempt>();
   CHECK(sent.size() == 1 && sent[0].m_member != first.m_member);
   CHECK(self.ActionsOf<FinishCall>().empty());
+  self.EndAttempt(sent[0].m_attempt, Outcome::kAnswered, Reason::kNone);
+  const auto cancelled = self.ActionsOf<CancelAttempt>();
+  CHECK(cancelled.size() == 1 && cancelled[0].m_attempt == first.m_attempt);
+  CHECK(self.ActionsOf<FinishCall>().size() == 1);
 }
 
 // Guards against a call that a stopping process gives up because it may send no
