Route large answers by the wait for the VMs' links

An ingress judged a target by its slots, so calls with large answers went to VMs whose links had long queues while others were free, and stayed in their region however long those queues were: only the slots' wait counted.

Gates report how long a large answer waits for their VM's link now (GateLoad::m_link_wait, linkWaitUs on the wire; zero where it is not known and for work of the own ingress). The ingress learns the size of answers by service and class and adds that wait to the expected answer time of calls whose answers it has seen to be large; the rule for the other region is the same as before. A report that comes with a large answer is as old as that answer's wait, so it no longer replaces a newer one that overtook it.

Test load: one call at a time, 100 in 1 s, target latency 500 ms, balancer sampled-wait. Short calls spread as before.

--- a/core/include/figlug/core/action.h
+++ b/core/include/figlug/core/action.h
@@ -69,6 +69,9 @@
   /// Time from dispatch to answer of the work replied to; zero where it is not
   /// known or not needed.
   Duration m_own_service_time{};
+  /// Time that a large answer to the same ingress would wait for the link of
+  /// the gate's VM; zero where it is not known or needs no link.
+  Duration m_link_wait{};
 };
 
 /// \brief The data that a choice of target was based on.
--- a/core/include/figlug/core/gate.h
+++ b/core/include/figlug/core/gate.h
@@ -224,6 +224,9 @@
                 Work& work,
                 const GateView& view,
                 Actions& out);
+  /// Load as reported to the ingress of the work.
+  [[nodiscard]] GateLoad LoadFor(const Work& work,
+                                 const GateView& view) const noexcept;
   void Refuse(WorkId id, Reason reason, const GateView& view, Actions& out);
   void DispatchQueued(Time now, const GateView& view, Actions& out);
   /// Counts the work as no longer at the target.
--- a/core/include/figlug/core/ingress.h
+++ b/core/include/figlug/core/ingress.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "figlug/core/action.h"
+#include "figlug/core/admission/answer_sizes.h"
 #include "figlug/core/balance/target_speeds.h"
 #include "figlug/core/balancer.h"
 #include "figlug/core/control_state.h"
@@ -146,7 +147,12 @@
                        const IngressView& view,
                        Actions& out);
   /// \brief Records the load that a gate reported with a reply.
-  void OnGateLoad(Time now, AttemptId attempt, const GateLoad& load);
+  /// \param answer_bytes Size of the body of a target's answer; unset for any
+  /// other reply.
+  void OnGateLoad(Time now,
+                  AttemptId attempt,
+                  const GateLoad& load,
+                  std::optional<std::size_t> answer_bytes);
   /// \brief Cancels a call whose caller has closed its connection.
   void OnCallerDisconnected(CallId call, Actions& out);
   /// \brief Lets no open call last longer than until `end`.
@@ -212,6 +218,7 @@
     TokenBudget m_retry_budget;
     TokenBudget m_hedge_budget;
     LatencyWindow m_latencies{std::chrono::seconds(2)};
+    AnswerSizes m_answer_sizes;
   };
 
   void TryNext(Time now,
--- a/core/include/figlug/core/node.h
+++ b/core/include/figlug/core/node.h
@@ -147,8 +147,13 @@
     Deliver(sink);
   }
   /// \brief A gate has reported its load with the reply to an attempt.
-  void OnGateLoad(Now now, AttemptId attempt, const GateLoad& load) {
-    m_ingress.OnGateLoad(now.m_time, attempt, load);
+  /// \param answer_bytes Size of the body of a target's answer; unset for any
+  /// other reply.
+  void OnGateLoad(Now now,
+                  AttemptId attempt,
+                  const GateLoad& load,
+                  std::optional<std::size_t> answer_bytes = std::nullopt) {
+    m_ingress.OnGateLoad(now.m_time, attempt, load, answer_bytes);
   }
   /// \brief Applies records from the log. Records that are already applied, or
   /// that follow a gap, are skipped.
--- a/core/include/figlug/core/target_view.h
+++ b/core/include/figlug/core/target_view.h
@@ -23,20 +23,33 @@
   /// Load that the gate reported with its last reply.
   GateLoad m_load;
   Time m_load_reported_at = Time::min();
+  /// About when the gate made that report.
+  Time m_load_made_at = Time::min();
 };
 
 /// \brief Reports whether a gate's last load report is recent.
 [[nodiscard]] bool IsLoadFresh(const TargetView& target, Time now) noexcept;
 
+/// \brief Takes over a gate's load report, unless a newer one came before it.
+/// \param is_behind_large Whether it came with a large answer, and so waited
+/// for the link of the gate's VM.
+void UpdateLoad(TargetView& target,
+                Time now,
+                const GateLoad& load,
+                bool is_behind_large) noexcept;
+
 /// \brief Estimates the time to an answer from a target's load, microseconds.
 /// \param slots Requests that the target executes concurrently; 0 when unknown.
 /// \param service_time Expected service time of the request at the target, if
 /// it has been learned; otherwise that of all requests is used.
+/// \param has_large_answer Whether the answer is expected to wait for the link
+/// of the target's VM.
 [[nodiscard]] double ExpectedAnswerTime(
     const TargetView& target,
     std::uint32_t slots,
     Time now,
-    std::optional<Duration> service_time = std::nullopt) noexcept;
+    std::optional<Duration> service_time = std::nullopt,
+    bool has_large_answer = false) noexcept;
 
 }  // namespace figlug::core
 
--- a/core/src/gate.cc
+++ b/core/src/gate.cc
@@ -234,12 +234,21 @@
                                 std::string(view.m_target)});
 }
 
+GateLoad Gate::LoadFor(const Work& work, const GateView& view) const noexcept {
+  GateLoad load = Load(view);
+  if (work.m_from == AttemptOrigin::kPeer) {
+    load.m_link_wait = LinkWait(view.m_link);
+  }
+  return load;
+}
+
 void Gate::Refuse(WorkId id,
                   Reason reason,
                   const GateView& view,
                   Actions& out) {
-  out.emplace_back(FinishAttempt{id, Outcome::kNotRun, reason, Load(view)});
   const auto it = m_work.find(id);
+  out.emplace_back(
+      FinishAttempt{id, Outcome::kNotRun, reason, LoadFor(it->second, view)});
   if (it->second.m_running) {
     const AttemptHead& head = it->second.m_head;
     view.m_ownership.RemoveId(head.m_slice, head.m_request_id);
@@ -295,7 +304,7 @@
   if (result.m_outcome == Outcome::kNotRun) {
     Refuse(id, result.m_reason, view, out);
   } else {
-    GateLoad load = Load(view);
+    GateLoad load = LoadFor(work, view);
     if (LearnsCapacity() && result.m_outcome == Outcome::kAnswered) {
       load.m_own_service_time = now - work.m_dispatched_at;
     }
--- a/core/src/ingress.cc
+++ b/core/src/ingress.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "figlug/core/link/send_window.h"
+
 namespace figlug::core {
 namespace {
 
@@ -312,6 +314,10 @@
                                     const IngressView& view) {
   std::vector<TargetCandidate> local;
   std::vector<TargetCandidate> remote;
+  const bool has_large_answer =
+      call.m_route != nullptr &&
+      m_services[call.m_head.m_service].m_answer_sizes.ExpectedLarge(
+          ClassOf(*call.m_route)) > 0;
   for (const auto& [id, member] : view.m_state.members()) {
     const TargetView& target = m_targets[id];
     if (member.m_info.m_service != call.m_head.m_service ||
@@ -326,11 +332,11 @@
         call.m_route == nullptr ? std::nullopt
                                 : m_speeds.Expected(now, call.m_head.m_service,
                                                     ClassOf(*call.m_route), id);
-    const double wait =
-        ExpectedAnswerTime(target, member.m_info.m_slots, now, service_time) +
-        (member.m_info.m_domain == view.m_self.m_domain
-             ? 0
-             : kCrossDomainRoundTripUs);
+    const double wait = ExpectedAnswerTime(target, member.m_info.m_slots, now,
+                                           service_time, has_large_answer) +
+                        (member.m_info.m_domain == view.m_self.m_domain
+                             ? 0
+                             : kCrossDomainRoundTripUs);
     (is_local ? local : remote)
         .push_back({id, target.m_outstanding, target.m_latency_us, wait});
   }
@@ -405,19 +411,25 @@
                     m_random() % static_cast<std::uint64_t>(base.count())));
 }
 
-void Ingress::OnGateLoad(Time now, AttemptId attempt, const GateLoad& load) {
+void Ingress::OnGateLoad(Time now,
+                         AttemptId attempt,
+                         const GateLoad& load,
+                         std::optional<std::size_t> answer_bytes) {
   const auto it = m_attempts.find(attempt);
   if (it == m_attempts.end() || load.m_slots == 0) {
     return;
   }
-  TargetView& target = m_targets[it->second.m_member];
-  target.m_load = load;
-  target.m_load_reported_at = now;
+  UpdateLoad(m_targets[it->second.m_member], now, load,
+             answer_bytes.value_or(0) > kFragmentBytes);
   if (const auto call = m_calls.find(it->second.m_call);
       call != m_calls.end() && call->second.m_route != nullptr) {
     m_speeds.Observe(now, call->second.m_head.m_service,
                      ClassOf(*call->second.m_route), it->second.m_member,
                      load.m_own_service_time);
+    if (answer_bytes) {
+      m_services[call->second.m_head.m_service].m_answer_sizes.Observe(
+          ClassOf(*call->second.m_route), *answer_bytes);
+    }
   }
 }
 
--- a/core/src/target_view.cc
+++ b/core/src/target_view.cc
@@ -23,13 +23,29 @@
          now < target.m_load_reported_at + kMaxLoadAge;
 }
 
+// A report that came with a large answer is as old as that answer's wait for
+// the link, and short answers overtake it.
+void UpdateLoad(TargetView& target,
+                Time now,
+                const GateLoad& load,
+                bool is_behind_large) noexcept {
+  const Time made_at = is_behind_large ? now - load.m_link_wait : now;
+  if (made_at < target.m_load_made_at) {
+    return;
+  }
+  target.m_load = load;
+  target.m_load_made_at = made_at;
+  target.m_load_reported_at = now;
+}
+
 double ExpectedAnswerTime(const TargetView& target,
                           std::uint32_t slots,
                           Time now,
-                          std::optional<Duration> service_time) noexcept {
-  const double reported = IsLoadFresh(target, now)
-                              ? target.m_load.m_running + target.m_load.m_queued
-                              : 0;
+                          std::optional<Duration> service_time,
+                          bool has_large_answer) noexcept {
+  const bool is_fresh = IsLoadFresh(target, now);
+  const double reported =
+      is_fresh ? target.m_load.m_running + target.m_load.m_queued : 0;
   const double open =
       std::max(reported, static_cast<double>(target.m_outstanding));
   const double slot_count = slots > 0 ? slots : kDefaultSlots;
@@ -44,7 +60,11 @@
   // The wait depends on the work that is there, the rest on this request.
   const double own_us =
       service_time ? static_cast<double>(service_time->count()) : service_us;
-  return wait +
+  const double link_us =
+      is_fresh && has_large_answer
+          ? static_cast<double>(target.m_load.m_link_wait.count())
+          : 0;
+  return wait + link_us +
          own_us * (1 + kFullLoadSlowdownRatio * utilization * utilization) +
          target.m_failure_ratio * kFailureCostUs;
 }
--- a/core/tests/admission/link_admission_test.cc
+++ b/core/tests/admission/link_admission_test.cc
@@ -330,3 +330,137 @@
   CHECK(!self.IsDispatched(waiting));
   CHECK(self.ResultOf(waiting)->m_reason == Reason::kOverloaded);
 }
+
+TEST(LinkAdmission, AReportSaysHowLongALargeAnswerWaits) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  self.node().OnLinkLoad({300'000, kBytesPerSecond});
+  const WorkId work = self.Attempt(ShortHead());
+  self.Answer(work);
+  CHECK(self.ResultOf(work)->m_load.m_link_wait == milliseconds(300));
+  const WorkId own = self.OwnAttempt(ShortHead());
+  self.Answer(own);
+  CHECK(self.ResultOf(own)->m_load.m_link_wait == Duration::zero());
+  self.node().OnLinkLoad({300'000, 0});
+  const WorkId unknown = self.Attempt(ShortHead());
+  self.Answer(unknown);
+  CHECK(self.ResultOf(unknown)->m_load.m_link_wait == Duration::zero());
+}
+
+TEST(LinkAdmission, AReportBehindALargeAnswerReplacesNoNewerOne) {
+  TargetView target;
+  const Time now{seconds(100)};
+  const auto report = [](milliseconds link_wait) {
+    return GateLoad{.m_slots = 2, .m_link_wait = link_wait};
+  };
+  UpdateLoad(target, now, report(milliseconds(50)), false);
+  UpdateLoad(target, now + milliseconds(100), report(milliseconds(900)), true);
+  CHECK(target.m_load.m_link_wait == milliseconds(50));
+  CHECK(target.m_load_reported_at == now);
+  UpdateLoad(target, now + milliseconds(990), report(milliseconds(900)), true);
+  CHECK(target.m_load.m_link_wait == milliseconds(900));
+  CHECK(IsLoadFresh(target, now + milliseconds(1500)));
+  const double large_us = ExpectedAnswerTime(
+      target, 2, now + milliseconds(1500), std::nullopt, true);
+  const double short_us =
+      ExpectedAnswerTime(target, 2, now + milliseconds(1500));
+  DOUBLES_EQUAL(900'000, large_us - short_us, 1);
+  // An outdated report says nothing about the link.
+  DOUBLES_EQUAL(
+      0,
+      ExpectedAnswerTime(target, 2, now + seconds(3), std::nullopt, true) -
+          ExpectedAnswerTime(target, 2, now + seconds(3)),
+      1);
+}
+
+namespace {
+
+// An ingress with four targets of a service on two VMs of its region and two of
+// the other, all alike but for the load of their links.
+class LinkedTargets {
+ public:
+  LinkedTargets() {
+    m_self.Start();
+    m_self.Report();
+    m_self.Settle();
+    for (std::uint64_t id = 50; id < 54; ++id) {
+      MemberInfo info = RoutedNode::OtherMember(id, "orders");
+      info.m_slots = 8;
+      info.m_region = id < 52 ? "r1" : "r2";
+      m_self.Record(JoinRecord{info, {}});
+      m_self.Record(WeightRecord{MemberId{id}, kMaxWeight});
+    }
+    m_self.ClearActions();
+  }
+
+  // Sends a call that is answered at once.
+  MemberId Call(std::size_t answer_bytes) {
+    m_self.ClearActions();
+    static_cast<void>(m_self.Call("/long/1"));
+    const auto sent = m_self.ActionsOf<SendAttempt>();
+    LONGS_EQUAL(1, sent.size());
+    const MemberId to = sent.front().m_member;
+    m_self.node().OnGateLoad(m_self.At(), sent.front().m_attempt,
+                             {.m_running = 1,
+                              .m_slots = 8,
+                              .m_service_time = milliseconds(120),
+                              .m_link_wait = m_link_waits[to]},
+                             answer_bytes);
+    m_self.EndAttempt(sent.front().m_attempt, Outcome::kAnswered,
+                      Reason::kNone);
+    m_self.Sleep(milliseconds(10));
+    return to;
+  }
+  // Calls by member, after the ingress has heard of all targets' loads.
+  std::map<MemberId, int> Spread(std::size_t answer_bytes) {
+    for (int i = 0; i < 40; ++i) {
+      static_cast<void>(Call(answer_bytes));
+    }
+    std::map<MemberId, int> calls;
+    for (int i = 0; i < 100; ++i) {
+      ++calls[Call(answer_bytes)];
+    }
+    return calls;
+  }
+
+  std::map<MemberId, Duration> m_link_waits;
+
+ private:
+  RoutedNode m_self{"archive", [](NodeSettings& settings) {
+                      settings.m_balancer = SampledWait{};
+                    }};
+};
+
+}  // namespace
+
+// 100 calls in 1 s; the link of one VM is 400 ms behind, the other is free.
+TEST(LinkAdmission, LargeAnswersGoToTheVmWhoseLinkIsFree) {
+  LinkedTargets targets;
+  targets.m_link_waits[MemberId{50}] = milliseconds(400);
+  auto calls = targets.Spread(kLargeBytes);
+  CHECK(calls[MemberId{50}] <= 5);
+  CHECK(calls[MemberId{51}] >= 95);
+}
+
+TEST(LinkAdmission, ShortAnswersGoToAllVmsAlike) {
+  LinkedTargets targets;
+  targets.m_link_waits[MemberId{50}] = milliseconds(400);
+  auto calls = targets.Spread(kShortBytes);
+  CHECK(calls[MemberId{50}] >= 30);
+  CHECK(calls[MemberId{51}] >= 30);
+}
+
+// With a target latency of 500 ms, no answer of the own region is in time.
+TEST(LinkAdmission, LargeAnswersGoToTheOtherRegionWhenTheOwnLinksAreFull) {
+  LinkedTargets targets;
+  targets.m_link_waits[MemberId{50}] = milliseconds(900);
+  targets.m_link_waits[MemberId{51}] = milliseconds(900);
+  auto calls = targets.Spread(kLargeBytes);
+  CHECK(calls[MemberId{52}] + calls[MemberId{53}] >= 90);
+  LinkedTargets other;
+  other.m_link_waits = targets.m_link_waits;
+  auto short_calls = other.Spread(kShortBytes);
+  LONGS_EQUAL(100, short_calls[MemberId{50}] + short_calls[MemberId{51}]);
+}
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -73,6 +73,16 @@
   return {status, {{"Content-Type", type}}, std::move(body)};
 }
 
+/// \brief Size of the body if the reply is a target's answer and no error.
+inline std::optional<std::size_t> AnswerBytes(
+    core::Outcome outcome,
+    core::Reason reason,
+    const wire::HttpResponse& response) {
+  return outcome == core::Outcome::kAnswered && reason == core::Reason::kNone
+             ? std::optional(response.m_body.size())
+             : std::nullopt;
+}
+
 inline core::TargetResult ClassifyError(HttpClientError error) {
   switch (error) {
     case HttpClientError::kNotSent:
@@ -555,7 +565,9 @@
 
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::OnReply(wire::ReplyFrame&& frame) {
-  m_node.OnGateLoad(ReadClocks(), frame.m_attempt, frame.m_load);
+  m_node.OnGateLoad(
+      ReadClocks(), frame.m_attempt, frame.m_load,
+      impl::AnswerBytes(frame.m_outcome, frame.m_reason, frame.m_response));
   EndAttempt(frame.m_attempt, frame.m_outcome, frame.m_reason,
              std::move(frame.m_response));
 }
@@ -857,7 +869,9 @@
                   {work.m_attempt, action.m_outcome, action.m_reason,
                    std::move(work.m_response), action.m_load});
   } else {
-    m_node.OnGateLoad(now, work.m_attempt, action.m_load);
+    m_node.OnGateLoad(
+        now, work.m_attempt, action.m_load,
+        impl::AnswerBytes(action.m_outcome, action.m_reason, work.m_response));
     EndAttempt(work.m_attempt, action.m_outcome, action.m_reason,
                std::move(work.m_response));
   }
--- a/wire/schema/peer.capnp
+++ b/wire/schema/peer.capnp
@@ -99,6 +99,7 @@
   slots @2 :UInt32;
   serviceUs @3 :Int64;
   ownServiceUs @4 :Int64;
+  linkWaitUs @5 :Int64;
 }
 
 struct ReleasedSlice {
--- a/wire/src/frame.cc
+++ b/wire/src/frame.cc
@@ -344,6 +344,7 @@
     load.setSlots(frame.m_load.m_slots);
     load.setServiceUs(frame.m_load.m_service_time.count());
     load.setOwnServiceUs(frame.m_load.m_own_service_time.count());
+    load.setLinkWaitUs(frame.m_load.m_link_wait.count());
   }
   void operator()(const CancelFrame& frame) {
     m_out.setCancel(static_cast<std::uint64_t>(frame.m_attempt));
@@ -412,9 +413,12 @@
   frame.m_response.m_headers = Read(in.getHeaders());
   frame.m_response.m_body = body;
   const auto load = in.getLoad();
-  frame.m_load = {load.getRunning(), load.getQueued(), load.getSlots(),
+  frame.m_load = {load.getRunning(),
+                  load.getQueued(),
+                  load.getSlots(),
                   impl::ReadSpan(load.getServiceUs()),
-                  impl::ReadSpan(load.getOwnServiceUs())};
+                  impl::ReadSpan(load.getOwnServiceUs()),
+                  impl::ReadSpan(load.getLinkWaitUs())};
   return frame;
 }
 
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -235,6 +235,27 @@
   }
 }
 
+TEST(Codec, AReplyKeepsTheLoadOfItsGate) {
+  ReplyFrame reply{.m_outcome = core::Outcome::kAnswered};
+  reply.m_response.m_status = 200;
+  reply.m_load = {.m_running = 3,
+                  .m_queued = 4,
+                  .m_slots = 6,
+                  .m_service_time = std::chrono::milliseconds(20),
+                  .m_own_service_time = std::chrono::milliseconds(30),
+                  .m_link_wait = std::chrono::milliseconds(400)};
+  const auto read =
+      ParseFrame(EncodeFrameHead(Frame(reply)).substr(kFramePrefixBytes), "");
+  CHECK(read.has_value());
+  const core::GateLoad& load = std::get<ReplyFrame>(*read).m_load;
+  LONGS_EQUAL(3, load.m_running);
+  LONGS_EQUAL(4, load.m_queued);
+  LONGS_EQUAL(6, load.m_slots);
+  CHECK(load.m_service_time == reply.m_load.m_service_time);
+  CHECK(load.m_own_service_time == reply.m_load.m_own_service_time);
+  CHECK(load.m_link_wait == reply.m_load.m_link_wait);
+}
+
 TEST(Codec, AttemptRoundTrips) {
   const auto frame = ParseFrame(SampleFrame(), "body");
   CHECK(frame.has_value());
