Let reports of a link's wait fade after a second in place of ending

An ingress hears of a gate a few times in 10 s, while a link's queue lasts for seconds, so most calls with large answers were routed without a report. Lines of routing and of ended attempts tell the wait.

--- a/core/include/figlug/core/target_view.h
+++ b/core/include/figlug/core/target_view.h
@@ -44,6 +44,11 @@
                 const GateLoad& load,
                 bool is_behind_large) noexcept;
 
+/// \brief How long a large answer of the target still waits for the link of its
+/// VM, by the last report.
+[[nodiscard]] Duration LinkWaitLeft(const TargetView& target,
+                                    Time now) noexcept;
+
 /// \brief Estimates the time to an answer from a target's load, microseconds.
 /// \param slots Requests that the target executes concurrently; 0 when unknown.
 /// \param service_time Expected service time of the request at the target, if
--- a/core/src/target_view.cc
+++ b/core/src/target_view.cc
@@ -54,6 +54,17 @@
   target.m_load_reported_at = now;
 }
 
+// A link's queue lasts for seconds, so a report that is no longer recent still
+// says that what it names is being sent.
+Duration LinkWaitLeft(const TargetView& target, Time now) noexcept {
+  if (target.m_load_reported_at == Time::min()) {
+    return Duration::zero();
+  }
+  const Duration outdated_for =
+      std::max(Duration::zero(), now - target.m_load_reported_at - kMaxLoadAge);
+  return std::max(Duration::zero(), target.m_load.m_link_wait - outdated_for);
+}
+
 double ExpectedAnswerTime(const TargetView& target,
                           std::uint32_t slots,
                           Time now,
@@ -77,9 +88,8 @@
   const double own_us =
       service_time ? static_cast<double>(service_time->count()) : service_us;
   const double link_us =
-      is_fresh && has_large_answer
-          ? static_cast<double>(target.m_load.m_link_wait.count())
-          : 0;
+      has_large_answer ? static_cast<double>(LinkWaitLeft(target, now).count())
+                       : 0;
   return wait + link_us +
          own_us * (1 + kFullLoadSlowdownRatio * utilization * utilization) +
          target.m_failure_ratio * kFailureCostUs;
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -717,6 +717,7 @@
                      {"outstanding", basis.m_outstanding},
                      {"told_running", basis.m_load.m_running},
                      {"told_queued", basis.m_load.m_queued},
+                     {"told_link_ms", impl::ToMillis(basis.m_load.m_link_wait)},
                      {"told_age_ms", impl::ToMillis(basis.m_load_age)},
                      {"left_ms", impl::ToMillis(action.m_head.m_time_left)}});
   if (!IsOwnGate(action.m_to)) {
@@ -881,6 +882,7 @@
        {"queued", action.m_load.m_queued},
        {"slots", action.m_load.m_slots},
        {"service_ms", impl::ToMillis(action.m_load.m_service_time)},
+       {"link_ms", impl::ToMillis(action.m_load.m_link_wait)},
        {"taken_ms", impl::ToMillis(now.m_time - work.m_started.m_time)}});
   if (action.m_outcome == core::Outcome::kAnswered) {
     work.m_response.m_headers =
