Answer a request that waits behind another before a stop closes it

What callers saw: at a stop a connection ends without an answer to a request that the process has read.

Cause: after SIGTERM each response says `Connection: close`, also where the next request of the same client is already in the connection's buffer or in the socket. It was dropped with the connection; unread bytes also make the close a reset, which may cost the client the response before.

Change: a stopping process closes a connection after a response only if nothing waits behind it, until it reads no more. What the system tells of a socket moves to a module of its own.

Measured: ARequestThatWaitsBehindAnotherIsAnsweredBeforeTheClose failed before for a request that had been read (it was never delivered), and passes now; the case of one still in the socket was not run on the old code. No client of the platform is known to send requests in this way.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -1,7 +1,6 @@
 #include "figlug/runtime/http_server.h"
 
 #include <evhtp.h>
-#include <poll.h>
 
 #include <algorithm>
 #include <array>
@@ -12,6 +11,7 @@
 
 #include <log4cplus/loggingmacros.h>
 
+#include "figlug/runtime/impl/socket_state.h"
 #include "figlug/runtime/logging.h"
 
 namespace figlug::runtime {
@@ -44,12 +44,6 @@
 constexpr timeval kCloseCheckInterval{0, 100'000};
 constexpr timeval kWriteCheckInterval{0, 1'000};
 
-bool IsClosedByClient(evutil_socket_t socket) {
-  pollfd state{socket, POLLRDHUP, 0};
-  return poll(&state, 1, 0) == 1 &&
-         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 // Whether the header fields say in one way at most how long the body is.
 // libevhtp takes the last of several lengths, and no body for a transfer coding
 // that it does not know.
@@ -408,7 +402,7 @@
     }
     // After a pause of this process, requests wait whose clients gave up since.
     // The connection is freed by its event, not while libevhtp parses it.
-    if (IsClosedByClient(request->conn->sock)) {
+    if (impl::IsClosedByPeer(request->conn->sock)) {
       connection.m_request = {};
       evhtp_request_pause(request);
       event_active(connection.m_close_event, EV_CLOSED, 0);
@@ -430,7 +424,7 @@
     const bool is_written =
         connection->m_closes_once_written &&
         evbuffer_get_length(bufferevent_get_output(handle->bev)) == 0;
-    if (is_written || IsClosedByClient(handle->sock)) {
+    if (is_written || impl::IsClosedByPeer(handle->sock)) {
       evhtp_connection_free(handle);
       return;
     }
@@ -509,7 +503,7 @@
     }
     bool is_last =
         wire::FindHeader(response.m_headers, "Connection") != nullptr;
-    if (!is_last && (!m_is_listening || m_close_after_response)) {
+    if (!is_last && ClosesAfterResponse(*request->conn)) {
       add("Connection", "close");
       is_last = true;
     }
@@ -529,6 +523,15 @@
     return is_last;
   }
 
+  // A request that waits behind the response is answered first. Closing a
+  // connection with unread bytes may also cost its client the response.
+  bool ClosesAfterResponse(const evhtp_connection_t& connection) const {
+    return m_is_reading_stopped ||
+           ((!m_is_listening || m_close_after_response) &&
+            evbuffer_get_length(bufferevent_get_input(connection.bev)) == 0 &&
+            !impl::HasUnreadBytes(connection.sock));
+  }
+
   EventLoop& m_loop;
   HttpServerHandlers m_handlers;
   std::size_t m_body_limit;
--- a/runtime/tests/http_server_test.cc
+++ b/runtime/tests/http_server_test.cc
@@ -111,6 +111,9 @@
     m_server.StopReading();
     return WaitUntil([&] { return m_server.unsent_bytes() == 0; });
   }
+  /// \brief Begins to stop as a process does that still accepts requests.
+  void CloseAfterResponses() { m_server.CloseAfterResponses(); }
+  void Answer() { m_server.Respond(m_last_id, {200, {}, "x"}); }
   [[nodiscard]] int requests() const { return m_requests; }
   [[nodiscard]] int disconnects() const { return m_disconnects; }
   [[nodiscard]] std::size_t connections() const {
@@ -200,6 +203,29 @@
   LONGS_EQUAL(1, server.requests());
 }
 
+// Guards against requests that a stopping process drops unanswered, since it
+// closes their connection after the response to the request before them.
+TEST(HttpServer, ARequestThatWaitsBehindAnotherIsAnsweredBeforeTheClose) {
+  for (const bool is_read : {true, false}) {
+    Server server;
+    Client client;
+    client.Send(is_read ? std::string(kRequest) + std::string(kRequest)
+                        : std::string(kRequest));
+    CHECK(server.WaitUntil([&] { return server.requests() == 1; }));
+    if (!is_read) {
+      client.Send(kRequest);
+    }
+    server.CloseAfterResponses();
+    server.Answer();
+    CHECK(server.WaitUntil([&] { return server.requests() == 2; }));
+    CHECK(client.Receive().find("Connection: close") == std::string::npos);
+    server.Answer();
+    server.RunFor(milliseconds(100));
+    CHECK(client.Receive().find("Connection: close") != std::string::npos);
+    LONGS_EQUAL(0, server.connections());
+  }
+}
+
 // Guards against a process that ends because of a request head that cannot be
 // read, and against losing the requests of other clients with it.
 TEST(HttpServer, AHeadThatCannotBeReadIsRejected) {
