--- a/core/tests/silent_attempt_test.cc
+++ b/core/tests/silent_attempt_test.cc
@@ -162,6 +162,29 @@
   CHECK(self.Cancelled().empty());
 }
 
+// Guards against arrivals beyond max_attempts, which is 2: attempts that ended
+// before the silence of another, or beside it, were not counted.
+TEST(SilentAttempt, AttemptsThatHaveEndedCount) {
+  for (const bool is_lost_first : {true, false}) {
+    SilentGates self(5);
+    for (int i = 0; i < 40; ++i) {
+      self.EndAttempt(self.CallOnce().m_attempt, Outcome::kAnswered,
+                      Reason::kNone);
+    }
+    self.ClearActions();
+    const SendAttempt first = self.CallOnce();
+    if (!is_lost_first) {
+      self.Silence(first.m_attempt);
+    }
+    self.EndAttempt(first.m_attempt, Outcome::kUnknown, Reason::kPeerLost);
+    CHECK(self.Sent().size() == 2);
+    CHECK(self.Ends().empty());
+    self.Silence(self.Sent()[1].m_attempt);
+    CHECK(self.Sent().size() == 2);
+    CHECK(self.Ends().empty());
+  }
+}
+
 // Guards against a target's error response that reaches the caller although
 // another target may still answer.
 TEST(SilentAttempt, AnErrorResponseWaitsForTheOtherAttempt) {
