Measure no rate over a stand-still, and leave no deadline in the past

Tests, failing before: LinkScheduler.ATimeWithoutALinkIsNotMeasured, LinkScheduler.NoDeadlineIsLeftInThePast.

--- a/core/src/link/link_scheduler.cc
+++ b/core/src/link/link_scheduler.cc
@@ -80,8 +80,11 @@
     if (peer.m_is_stalled) {
       continue;
     }
-    if (m_in_flight > 0 &&
-        (m_in_flight + bytes > Limit() || HasToDrain(now, peer))) {
+    const bool is_full = m_in_flight > 0 && m_in_flight + bytes > Limit();
+    if (is_full) {
+      m_drain_end = kNever;
+    }
+    if (is_full || (m_in_flight > 0 && HasToDrain(now, peer))) {
       m_is_limiting = true;
       return std::nullopt;
     }
@@ -101,6 +104,7 @@
     return fragment;
   }
   m_is_limiting = false;
+  m_drain_end = kNever;
   return std::nullopt;
 }
 
@@ -116,6 +120,7 @@
   m_queued -= sent.m_bytes;
   if (peer.m_is_stalled) {
     // It counts again.
+    m_rate.OnArrived(now, sent.m_bytes, false);
     peer.m_is_stalled = false;
     m_in_flight += peer.m_in_flight_bytes;
     for (Sent& other : peer.m_in_flight) {
@@ -126,6 +131,7 @@
   }
   m_in_flight -= sent.m_bytes;
   if (sent.m_was_stalled) {
+    m_rate.OnArrived(now, sent.m_bytes, false);
     return;
   }
   const Duration round_trip = now - sent.m_at;
@@ -237,9 +243,12 @@
   if (m_waiting.empty()) {
     return kNever;
   }
+  const Time next_review = m_reviewed_at == Time::min()
+                               ? m_reviewed_at
+                               : m_reviewed_at + kReviewInterval;
   Time next = m_drain_end;
   for (const auto& [id, waiting] : m_waiting) {
-    next = std::min(next, waiting.m_transfer.m_deadline);
+    next = std::min(next, std::max(waiting.m_transfer.m_deadline, next_review));
   }
   for (const auto& [id, peer] : m_peers) {
     if (!peer.m_is_stalled && !peer.m_in_flight.empty()) {
--- a/core/tests/link/link_scheduler_test.cc
+++ b/core/tests/link/link_scheduler_test.cc
@@ -75,6 +75,7 @@
             {m_now, static_cast<double>(fragment->m_bytes),
              m_peer_of[static_cast<std::size_t>(fragment->m_transfer) - 1]});
       }
+      m_spins += m_scheduler.NextDeadline() <= m_now ? 1 : 0;
       m_empty_at = IsEmpty() ? m_now : m_empty_at;
     }
   }
@@ -150,6 +151,8 @@
   std::deque<Message> m_queue;
   std::deque<Ack> m_acks;
   std::size_t m_held_acks = 0;
+  /// Times at which a deadline was left in the past.
+  std::size_t m_spins = 0;
   std::vector<Wait> m_waits;
   Time m_next_short{};
   Time m_empty_at{};
@@ -237,6 +240,44 @@
   CHECK(m_link.IsEmpty());
 }
 
+// Guards against a rate that is taken from a time in which the link stood
+// still, by which work is refused once it is back.
+TEST(LinkScheduler, ATimeWithoutALinkIsNotMeasured) {
+  m_link.m_peers = 1;
+  m_link.m_load = 1.5;
+  m_link.m_time_left = seconds(2);
+  m_link.RunFor(seconds(2));
+  m_link.m_stalled = LinkPeerId{1};
+  m_link.RunFor(seconds(4));
+  m_link.Resume();
+  for (int i = 0; i < 20; ++i) {
+    m_link.RunFor(milliseconds(100));
+    const double rate =
+        m_link.m_scheduler.Load(m_link.m_now).m_bytes_per_second;
+    CHECK(rate == 0 || rate >= 0.5 * kTenMegabits);
+  }
+}
+
+// Guards against a timer that expires again at once, for as long as a peer
+// acknowledges nothing or a deadline lies between two reviews.
+TEST(LinkScheduler, NoDeadlineIsLeftInThePast) {
+  for (int offset_ms = 250; offset_ms <= 390; offset_ms += 10) {
+    m_link = {};
+    m_link.m_peers = 1;
+    m_link.m_load = 1.5;
+    m_link.RunFor(seconds(1));
+    m_link.m_load = 0;
+    m_link.RunFor(seconds(20));
+    m_link.m_stalled = LinkPeerId{1};
+    m_link.m_time_left = seconds(30);
+    m_link.Add(kShortBytes);
+    m_link.RunFor(milliseconds(offset_ms));
+    m_link.Add(kLargeBytes);
+    m_link.RunFor(seconds(1));
+    LONGS_EQUAL(0, m_link.m_spins);
+  }
+}
+
 // Guards against acknowledgements that come together after a pause and pass for
 // short round trips, beside which all later ones seem to have queued.
 TEST(LinkScheduler, APauseDoesNotMakeAPeerLookNear) {
