Close connections after answers that are given at once at a stop

Clients that a stopping process refuses went on using their connections.

Test, failing before (no Connection: close): HttpServer.AStopClosesAConnectionAfterAnAnswerGivenAtOnce.

--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -383,7 +383,13 @@
 
   static void OnRequest(evhtp_request_t* request, void* arg) {
     auto* impl = static_cast<Impl*>(arg);
-    Connection& connection = impl->m_connections[request->conn];
+    impl->m_is_parsing = true;
+    impl->HandleRequest(request);
+    impl->m_is_parsing = false;
+  }
+
+  void HandleRequest(evhtp_request_t* request) {
+    Connection& connection = m_connections[request->conn];
     ResetArriving(connection);
     if (connection.m_closes_once_written) {
       return;
@@ -392,7 +398,7 @@
       // Without the pause, libevhtp neither reads a request that waits behind
       // this one nor closes the connection after its last response.
       evhtp_request_pause(request);
-      if (impl->Write(request, *connection.m_refusal)) {
+      if (Write(request, *connection.m_refusal)) {
         CloseOnceWritten(connection);
       }
       connection.m_refusal.reset();
@@ -408,12 +414,12 @@
       event_active(connection.m_close_event, EV_CLOSED, 0);
       return;
     }
-    const ExchangeId id{++impl->m_last_id};
-    impl->m_exchanges[id] = request;
+    const ExchangeId id{++m_last_id};
+    m_exchanges[id] = request;
     connection.m_exchange = id;
     evhtp_request_pause(request);
     event_add(connection.m_close_event, nullptr);
-    impl->m_handlers.m_on_request(id, std::move(connection.m_request));
+    m_handlers.m_on_request(id, std::move(connection.m_request));
   }
 
   // A waiting request keeps the socket readable, so the socket is then checked
@@ -524,12 +530,17 @@
   }
 
   // A request that waits behind the response is answered first. Closing a
-  // connection with unread bytes may also cost its client the response.
+  // connection with unread bytes may also cost its client the response. While
+  // libevhtp parses, its input still holds the request that is answered.
   bool ClosesAfterResponse(const evhtp_connection_t& connection) const {
     return m_is_reading_stopped ||
            ((!m_is_listening || m_close_after_response) &&
-            evbuffer_get_length(bufferevent_get_input(connection.bev)) == 0 &&
-            !impl::HasUnreadBytes(connection.sock));
+            (m_is_parsing || !HasMoreInput(connection)));
+  }
+
+  static bool HasMoreInput(const evhtp_connection_t& connection) {
+    return evbuffer_get_length(bufferevent_get_input(connection.bev)) > 0 ||
+           impl::HasUnreadBytes(connection.sock);
   }
 
   EventLoop& m_loop;
@@ -541,6 +552,8 @@
   bool m_close_after_response = false;
   bool m_is_closing = false;
   bool m_is_reading_stopped = false;
+  /// In libevhtp's callback for a request that is complete.
+  bool m_is_parsing = false;
   std::uint64_t m_last_id = 0;
   std::unordered_map<ExchangeId, evhtp_request_t*> m_exchanges;
   std::unordered_map<evhtp_connection_t*, Connection> m_connections;
--- a/runtime/tests/http_server_test.cc
+++ b/runtime/tests/http_server_test.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -80,10 +81,13 @@
  public:
   Server()
       : m_server(m_loop,
-                 {[](const wire::HttpRequest&) { return std::nullopt; },
+                 {[this](const wire::HttpRequest&) { return m_refusal; },
                   [this](ExchangeId id, wire::HttpRequest&&) {
                     ++m_requests;
                     m_last_id = id;
+                    if (m_answers_at_once) {
+                      Answer();
+                    }
                   },
                   [this](ExchangeId) { ++m_disconnects; }},
                  kMaxBodyBytes) {
@@ -113,6 +117,8 @@
   }
   /// \brief Begins to stop as a process does that still accepts requests.
   void CloseAfterResponses() { m_server.CloseAfterResponses(); }
+  void AnswerAtOnce() { m_answers_at_once = true; }
+  void RefuseOnHead() { m_refusal = wire::HttpResponse{503, {}, "x"}; }
   void Answer() { m_server.Respond(m_last_id, {200, {}, "x"}); }
   [[nodiscard]] int requests() const { return m_requests; }
   [[nodiscard]] int disconnects() const { return m_disconnects; }
@@ -124,6 +130,8 @@
   EventLoop m_loop;
   int m_requests = 0;
   ExchangeId m_last_id{0};
+  bool m_answers_at_once = false;
+  std::optional<wire::HttpResponse> m_refusal;
   int m_disconnects = 0;
   HttpServer m_server;
 };
@@ -226,6 +234,25 @@
   }
 }
 
+// Guards against clients that a stopping process refuses and that go on using
+// their connection: the request that is answered is not one that waits.
+TEST(HttpServer, AStopClosesAConnectionAfterAnAnswerGivenAtOnce) {
+  for (const bool is_refused : {false, true}) {
+    Server server;
+    Client client;
+    if (is_refused) {
+      server.RefuseOnHead();
+    } else {
+      server.AnswerAtOnce();
+    }
+    server.CloseAfterResponses();
+    client.Send(kRequest);
+    server.RunFor(milliseconds(100));
+    CHECK(client.Receive().find("Connection: close") != std::string::npos);
+    LONGS_EQUAL(0, server.connections());
+  }
+}
+
 // Guards against a process that ends because of a request head that cannot be
 // read, and against losing the requests of other clients with it.
 TEST(HttpServer, AHeadThatCannotBeReadIsRejected) {
