Let a stop wait until its last large answers are acknowledged

What callers would see: 502 for an answer that its target has finished, as a process ends with fragments under way. The stop now waits for them within its time, but for peers that stand still.

--- a/core/include/figlug/core/link/link_scheduler.h
+++ b/core/include/figlug/core/link/link_scheduler.h
@@ -71,6 +71,8 @@
   /// \brief When Next may return a fragment without a further acknowledgement.
   [[nodiscard]] Time NextDeadline() const;
   [[nodiscard]] LinkLoad Load(Time now) const;
+  /// \brief Bytes under way to peers that do not stand still.
+  [[nodiscard]] std::size_t InFlightBytes(Time now) const;
   [[nodiscard]] std::size_t window() const noexcept { return m_window.bytes(); }
   [[nodiscard]] std::size_t in_flight() const noexcept { return m_in_flight; }
 
@@ -115,6 +117,8 @@
   [[nodiscard]] std::size_t Limit() const noexcept;
   [[nodiscard]] bool HasToDrain(Time now, Peer& peer);
   [[nodiscard]] Duration IdleRoundTripOf(const Peer& peer) const;
+  /// Whether a peer has acknowledged nothing for too long.
+  [[nodiscard]] bool IsOverdue(Time now, const Peer& peer) const noexcept;
   void FindStalled(Time now);
   void ObserveRoundTrip(Time now, Peer& peer, const Sent& sent);
 
--- a/core/src/link/link_scheduler.cc
+++ b/core/src/link/link_scheduler.cc
@@ -229,10 +229,14 @@
   return std::max(kMinStallTime, kStallRoundTrips * m_smoothed_round_trip);
 }
 
+bool LinkScheduler::IsOverdue(Time now, const Peer& peer) const noexcept {
+  return !peer.m_in_flight.empty() &&
+         now >= peer.m_in_flight.front().m_at + StallTime();
+}
+
 void LinkScheduler::FindStalled(Time now) {
   for (auto& [id, peer] : m_peers) {
-    if (!peer.m_is_stalled && !peer.m_in_flight.empty() &&
-        now >= peer.m_in_flight.front().m_at + StallTime()) {
+    if (!peer.m_is_stalled && IsOverdue(now, peer)) {
       peer.m_is_stalled = true;
       m_in_flight -= peer.m_in_flight_bytes;
     }
@@ -258,6 +262,16 @@
   return next;
 }
 
+std::size_t LinkScheduler::InFlightBytes(Time now) const {
+  std::size_t bytes = 0;
+  for (const auto& [id, peer] : m_peers) {
+    if (!peer.m_is_stalled && !IsOverdue(now, peer)) {
+      bytes += peer.m_in_flight_bytes;
+    }
+  }
+  return bytes;
+}
+
 LinkLoad LinkScheduler::Load(Time now) const {
   return {m_queued, m_rate.BytesPerSecond(now)};
 }
--- a/runtime/include/figlug/runtime/impl/daemon.h
+++ b/runtime/include/figlug/runtime/impl/daemon.h
@@ -989,12 +989,16 @@
   m_write_check.Set(core::Duration::zero());
 }
 
-// The loop writes responses in its next iteration, so a loop that is stopped at
+// An acknowledgement that arrives at a closed connection resets it, and the
+// peer loses what is still on its way, so the last ones are waited for. The
+// loop writes responses in its next iteration, so a loop that is stopped at
 // once would drop those given in this one.
 template <LogService Log, Dialect DialectType>
 void Daemon<Log, DialectType>::StopOnceWritten() {
-  const std::size_t unsent = m_front.unsent_bytes() + m_peers.unsent_bytes();
-  if (unsent > 0 && ReadClocks().m_time < m_write_until) {
+  const core::Time now = ReadClocks().m_time;
+  const std::size_t unsent = m_front.unsent_bytes() + m_peers.unsent_bytes() +
+                             m_peers.unacknowledged_bytes(now);
+  if (unsent > 0 && now < m_write_until) {
     m_write_check.Set(impl::kWriteCheckInterval);
     return;
   }
--- a/runtime/include/figlug/runtime/peer_transport.h
+++ b/runtime/include/figlug/runtime/peer_transport.h
@@ -104,6 +104,9 @@
   [[nodiscard]] core::LinkLoad link_load(core::Time now) const;
   /// \brief Bytes of large frames that may be under way at a time.
   [[nodiscard]] std::size_t link_window() const;
+  /// \brief Bytes of large frames that peers have not acknowledged, but for
+  /// peers that stand still. Closing a connection may cost its peer these.
+  [[nodiscard]] std::size_t unacknowledged_bytes(core::Time now) const;
   /// \brief Bytes of large frames that were cancelled or expired before they
   /// were sent, since the start.
   [[nodiscard]] std::uint64_t dropped_bytes() const noexcept;
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -133,6 +133,10 @@
     return m_large_frames.scheduler().window();
   }
 
+  std::size_t unacknowledged_bytes(core::Time now) const {
+    return m_large_frames.scheduler().InFlightBytes(now);
+  }
+
   std::uint64_t dropped_bytes() const noexcept {
     return m_large_frames.dropped_bytes();
   }
@@ -661,6 +665,10 @@
   return m_impl->link_window();
 }
 
+std::size_t PeerTransport::unacknowledged_bytes(core::Time now) const {
+  return m_impl->unacknowledged_bytes(now);
+}
+
 std::uint64_t PeerTransport::dropped_bytes() const noexcept {
   return m_impl->dropped_bytes();
 }
