Send records and configurations before answers, and know what was not sent

Control goes first now. Attempts whose large request had not been sent to its end when their connection closed counted as perhaps run; they are not run, and may go elsewhere.

Test: ThinLink.AConfigurationGoesBeforeAnswers (not run on the code before).

--- a/runtime/include/figlug/runtime/impl/fragment_sender.h
+++ b/runtime/include/figlug/runtime/impl/fragment_sender.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -47,7 +48,8 @@
   bool Cancel(core::LinkPeerId peer, core::AttemptId attempt);
   void OnAck(core::LinkPeerId peer);
   /// \brief Drops what waits for a connection that is closed.
-  void OnClosed(core::LinkPeerId peer);
+  /// \returns The attempts whose frame had not been sent to its end.
+  std::set<core::AttemptId> OnClosed(core::LinkPeerId peer);
 
   /// \brief Bytes that wait to be handed to a connection.
   [[nodiscard]] std::size_t unsent_bytes() const noexcept {
--- a/runtime/src/fragment_sender.cc
+++ b/runtime/src/fragment_sender.cc
@@ -1,6 +1,5 @@
 #include "figlug/runtime/impl/fragment_sender.h"
 
-#include <iterator>
 #include <utility>
 
 namespace figlug::runtime::impl {
@@ -79,15 +78,25 @@
   SendDue();
 }
 
-void FragmentSender::OnClosed(core::LinkPeerId peer) {
+std::set<core::AttemptId> FragmentSender::OnClosed(core::LinkPeerId peer) {
+  std::set<core::AttemptId> unsent;
   m_scheduler.OnClosed(peer);
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-    it = it->second.m_peer == peer ? Erase(it) : std::next(it);
+    const Waiting& waiting = it->second;
+    if (waiting.m_peer != peer) {
+      ++it;
+      continue;
+    }
+    if (waiting.m_attempt) {
+      unsent.insert(*waiting.m_attempt);
+    }
+    it = Erase(it);
   }
   // What was under way to the peer may have kept others waiting. The caller is
   // still changing its connections.
   m_timer_at = core::kNever;
   m_timer.Set(core::Duration::zero());
+  return unsent;
 }
 
 void FragmentSender::SendDue() {
--- a/runtime/src/peer_transport.cc
+++ b/runtime/src/peer_transport.cc
@@ -36,6 +36,12 @@
 constexpr timeval kWriteTimeout{1, 0};
 /// Well below the times within which a silent connection is probed and closed.
 constexpr core::Duration kLivenessInterval = std::chrono::milliseconds(100);
+constexpr std::uint32_t kControlPriority = 0;
+
+constexpr std::uint32_t CallPriority(std::uint32_t priority) {
+  return std::max(priority, priority + 1);
+}
+
 }  // namespace
 
 class PeerTransport::Impl {
@@ -88,7 +94,8 @@
     const core::Time end = ReadClocks().m_time + frame.m_head.m_time_left;
     connection.m_attempts.insert(frame.m_attempt);
     connection.m_liveness.OnAttemptSent(end);
-    Write(connection, frame, {frame.m_head.m_priority, end}, frame.m_attempt);
+    Write(connection, frame, CallPriority(frame.m_head.m_priority), end,
+          frame.m_attempt);
   }
 
   // The peer knows an attempt by the connection that it came from, and not at
@@ -112,8 +119,9 @@
     }
   }
 
+  // Records and configurations go before all answers.
   void Send(const core::Endpoint& to, const wire::Frame& frame) {
-    Write(Connect(to), frame, {}, std::nullopt);
+    Write(Connect(to), frame, kControlPriority, core::kNever, std::nullopt);
   }
 
   void Reply(PeerConnectionId to,
@@ -121,7 +129,8 @@
              const SendTerms& terms) {
     const auto it = m_inbound.find(to);
     if (it != m_inbound.end()) {
-      Write(*it->second, frame, terms, frame.m_attempt);
+      Write(*it->second, frame, CallPriority(terms.m_priority),
+            terms.m_deadline, frame.m_attempt);
     }
   }
 
@@ -316,7 +325,8 @@
   // Frames that are small go at once, past the large ones that wait.
   void Write(Connection& connection,
              const wire::Frame& frame,
-             const SendTerms& terms,
+             std::uint32_t priority,
+             core::Time deadline,
              std::optional<core::AttemptId> attempt) {
     std::string head = wire::EncodeFrameHead(frame);
     const std::string_view body = wire::BodyOf(frame);
@@ -326,8 +336,8 @@
     }
     head += body;
     m_large_frames.Send({.m_peer = connection.m_link,
-                         .m_priority = terms.m_priority,
-                         .m_deadline = terms.m_deadline},
+                         .m_priority = priority,
+                         .m_deadline = deadline},
                         std::move(head), attempt);
   }
 
@@ -574,7 +584,8 @@
     bufferevent_setcb(connection.m_stream, nullptr, nullptr, nullptr, nullptr);
     m_free_closed.Set(core::Duration::zero());
     m_links.erase(connection.m_link);
-    m_large_frames.OnClosed(connection.m_link);
+    const std::set<core::AttemptId> unsent =
+        m_large_frames.OnClosed(connection.m_link);
     if (connection.m_id != PeerConnectionId{0}) {
       const PeerConnectionId id = connection.m_id;
       const auto it = m_inbound.find(id);
@@ -595,7 +606,7 @@
     }
     const bool was_sent = connection.m_is_connected;
     for (core::AttemptId attempt : std::exchange(connection.m_attempts, {})) {
-      m_handlers.m_on_lost(attempt, was_sent);
+      m_handlers.m_on_lost(attempt, was_sent && !unsent.contains(attempt));
     }
   }
 
--- a/runtime/tests/thin_link_test.cc
+++ b/runtime/tests/thin_link_test.cc
@@ -72,15 +72,22 @@
                                         kBytesPerSecond);
     for (std::uint16_t i = 0; i < kIngresses; ++i) {
       m_ingresses.push_back(std::make_unique<PeerTransport>(
-          m_loop, PeerHandlers{.m_on_frame = [](auto, auto&&) {},
-                               .m_on_reply =
-                                   [this](wire::ReplyFrame&& reply) {
-                                     m_answers[reply.m_attempt] = {
-                                         Now(), reply.m_outcome,
-                                         std::move(reply.m_response.m_body)};
-                                   },
-                               .m_on_lost = [](auto, auto) {},
-                               .m_on_closed = [](auto) {}}));
+          m_loop, PeerHandlers{
+                      .m_on_frame =
+                          [this](auto, wire::Frame&& frame) {
+                            m_messages +=
+                                std::holds_alternative<core::PeerMessage>(frame)
+                                    ? 1
+                                    : 0;
+                          },
+                      .m_on_reply =
+                          [this](wire::ReplyFrame&& reply) {
+                            m_answers[reply.m_attempt] = {
+                                Now(), reply.m_outcome,
+                                std::move(reply.m_response.m_body)};
+                          },
+                      .m_on_lost = [](auto, auto) {},
+                      .m_on_closed = [](auto) {}}));
       const auto port = static_cast<std::uint16_t>(kFirstIngressPort + i);
       CHECK(m_ingresses.back()->Listen({"127.0.0.1", port}).has_value());
     }
@@ -147,6 +154,7 @@
   EventLoop m_loop;
   std::map<core::AttemptId, PeerConnectionId> m_asked;
   std::map<core::AttemptId, Answer> m_answers;
+  int m_messages = 0;
   std::unique_ptr<PeerTransport> m_gate;
   std::unique_ptr<ThinLink> m_link;
   std::vector<std::unique_ptr<PeerTransport>> m_ingresses;
@@ -248,4 +256,30 @@
       static_cast<std::size_t>(0.7 * Seconds(time_left) * kBytesPerSecond));
 }
 
+// Guards against a process that ends while its last large answer is under way:
+// acknowledgements at a closed connection would cost the peer the rest.
+TEST(ThinLink, AnAnswerCountsAsSentOnceItHasArrived) {
+  AskForLarge(0, 1, 0, 1);
+  Reply(0, kLargeBytes);
+  RunUntil([&] {
+    return m_gate->unsent_bytes() + m_gate->unacknowledged_bytes(Now()) == 0;
+  });
+  CHECK(HasArrived(0));
+}
+
+// Guards against a configuration that waits for the end of an overload.
+TEST(ThinLink, AConfigurationGoesBeforeAnswers) {
+  constexpr std::size_t bytes = 40'000;
+  AskForLarge(0, kLargeAnswers, 0, kIngresses);
+  for (std::uint64_t id = 0; id < kLargeAnswers; ++id) {
+    Reply(id, kLargeBytes, {.m_deadline = Now() + kWaitTimeout});
+  }
+  m_gate->Send({"127.0.0.1", kFirstIngressPort},
+               core::PeerMessage(core::OperatorUpdate{
+                   .m_configuration = std::string(bytes, 'x')}));
+  const core::Time start = Now();
+  RunUntil([&] { return m_messages == 1; });
+  CHECK(Now() - start < TransmissionTime(kLargeAnswers * kLargeBytes) / 2);
+}
+
 }  // namespace figlug::runtime
