Admit large answers by their target latency

The class of fault is the standing queue that admission to slots already avoids. Work that is late already, as after a retry, may use a quarter of the target latency.

The tests of the deadline keep their bounds: their calls now have a target latency as long as the deadline. New: LargeAnswersAreRefusedThatWouldMissTheTargetLatency.

--- a/core/include/figlug/core/admission/link_admission.h
+++ b/core/include/figlug/core/admission/link_admission.h
@@ -16,9 +16,17 @@
 /// \brief The load after a message of that size has been sent.
 [[nodiscard]] LinkLoad WithMessage(LinkLoad link, std::size_t bytes) noexcept;
 
+/// \brief Until when a large answer is useful enough to be sent.
+///
+/// A standing queue would make every answer late. Kept as short as the target
+/// latency requires, it keeps the link equally busy.
+/// \param deadline When nobody waits for the answer any more.
+[[nodiscard]] Time LinkUntil(Time now, const AttemptHead& head, Time deadline);
+
 /// \brief Work whose answer the link will carry.
 struct LinkWork {
-  Time m_deadline{};
+  /// By then, its answer must have arrived.
+  Time m_until{};
   Duration m_service_time{};
   /// Expected size of its answer.
   std::size_t m_bytes = 0;
@@ -31,8 +39,11 @@
 ///
 /// \code
 /// const std::size_t bytes = link.ExpectedBytes(ClassOf(head));
-/// if (link.IsTooLate(now, {deadline, service_time, bytes}, load)) { Refuse();
-/// } link.OnDispatched(bytes); link.OnEnded(bytes); \endcode
+/// const LinkWork work{until, service_time, bytes};
+/// if (link.IsTooLate(now, work, load)) { Refuse(); }
+/// link.OnDispatched(bytes);
+/// link.OnEnded(bytes);
+/// \endcode
 class LinkAdmission {
  public:
   void ObserveAnswer(WorkClass work, std::size_t bytes) {
--- a/core/include/figlug/core/gate.h
+++ b/core/include/figlug/core/gate.h
@@ -158,6 +158,8 @@
     AttemptOrigin m_from = AttemptOrigin::kOwnIngress;
     /// Expected size of a large answer that the link will carry; otherwise 0.
     std::size_t m_link_bytes = 0;
+    /// By then, such an answer must have arrived.
+    Time m_link_until{};
   };
 
   /// Sort key of the queue: by priority, then by the end of the allowed wait,
--- a/core/src/admission/link_admission.cc
+++ b/core/src/admission/link_admission.cc
@@ -11,6 +11,9 @@
 /// Longest transfer time that is told from longer ones, microseconds; keeps a
 /// very low rate from overflowing a Duration.
 constexpr double kMaxTransferUs = 3600 * kMicrosPerSecond;
+/// Part of the target latency within which work that is late already, as after
+/// a retry, may still be answered.
+constexpr int kTargetLatencyDivisorForLateWork = 4;
 
 Duration TransferTime(std::size_t bytes, double bytes_per_second) {
   const double us =
@@ -33,6 +36,15 @@
   return link;
 }
 
+Time LinkUntil(Time now, const AttemptHead& head, Time deadline) {
+  if (head.m_target_latency <= Duration::zero()) {
+    return deadline;
+  }
+  const Duration least =
+      head.m_target_latency / kTargetLatencyDivisorForLateWork;
+  return std::min(deadline, now + std::max(head.m_target_latency_left, least));
+}
+
 // The link also carries bytes while the target executes the work. That time is
 // not deducted: it is a margin for answers that are larger than expected.
 bool LinkAdmission::IsTooLate(Time now,
@@ -45,7 +57,7 @@
       link.m_queued_bytes + m_running_bytes + work.m_bytes_ahead + work.m_bytes;
   return now + work.m_service_time +
              TransferTime(bytes, link.m_bytes_per_second) >
-         work.m_deadline;
+         work.m_until;
 }
 
 }  // namespace figlug::core
--- a/core/src/gate.cc
+++ b/core/src/gate.cc
@@ -36,6 +36,7 @@
   work.m_from = from;
   if (from == AttemptOrigin::kPeer) {
     work.m_link_bytes = m_link.ExpectedBytes(ClassOf(head));
+    work.m_link_until = LinkUntil(now, head, work.m_deadline);
   }
   if (const Reason reason = Check(now, work, view); reason != Reason::kNone) {
     Refuse(id, reason, view, out);
@@ -428,7 +429,7 @@
                             const GateView& view) const {
   return m_link.IsTooLate(
       now,
-      {work.m_deadline, m_service_times.Expected(ClassOf(work.m_head)),
+      {work.m_link_until, m_service_times.Expected(ClassOf(work.m_head)),
        work.m_link_bytes, ahead.m_link_bytes},
       view.m_link);
 }
--- a/core/tests/admission/link_admission_test.cc
+++ b/core/tests/admission/link_admission_test.cc
@@ -31,8 +31,8 @@
           .m_time_left = kLargeDeadline,
           .m_priority = 2,
           .m_max_queue_wait = seconds(1),
-          .m_target_latency = seconds(1),
-          .m_target_latency_left = seconds(1)};
+          .m_target_latency = kLargeDeadline,
+          .m_target_latency_left = kLargeDeadline};
 }
 
 AttemptHead ShortHead() {
@@ -331,6 +331,38 @@
   CHECK(self.ResultOf(waiting)->m_reason == Reason::kOverloaded);
 }
 
+// Guards against a queue that stands at the deadline during an overload, so
+// that each large answer arrives, and each arrives too late to be of much use.
+TEST(LinkAdmission, LargeAnswersAreRefusedThatWouldMissTheTargetLatency) {
+  RoutedNode self("orders");
+  self.Start();
+  self.Report();
+  self.Settle();
+  AttemptHead head = LargeHead();
+  head.m_target_latency = head.m_target_latency_left = seconds(1);
+  const WorkId first = self.Attempt(head);
+  self.Advance(kServiceTime);
+  self.Finish(first, {.m_body_bytes = kLargeBytes});
+  const auto is_admitted = [&](Duration target_latency_left,
+                               std::size_t queued_bytes) {
+    self.node().OnLinkLoad({queued_bytes, kBytesPerSecond});
+    head.m_target_latency_left = target_latency_left;
+    const WorkId work = self.Attempt(head);
+    const bool is_dispatched = self.IsDispatched(work);
+    if (is_dispatched) {
+      self.Finish(work, {.m_body_bytes = kLargeBytes});
+    } else {
+      CHECK(self.ResultOf(work)->m_reason == Reason::kOverloaded);
+    }
+    return is_dispatched;
+  };
+  CHECK(is_admitted(seconds(1), 800'000));
+  CHECK_FALSE(is_admitted(seconds(1), 950'000));
+  // Work that is late already may use a quarter of the target latency.
+  CHECK(is_admitted(milliseconds(-100), 100'000));
+  CHECK_FALSE(is_admitted(milliseconds(-100), 300'000));
+}
+
 TEST(LinkAdmission, AReportSaysHowLongALargeAnswerWaits) {
   RoutedNode self("orders");
   self.Start();
