--- a/core/include/figlug/core/link/link_scheduler.h
+++ b/core/include/figlug/core/link/link_scheduler.h
@@ -46,6 +46,10 @@
 /// that is kept to what the link needs to be busy. Peers acknowledge fragments
 /// in the order in which they were sent.
 ///
+/// What a round trip spends in queues is its excess over one of the idle link.
+/// That is measured by draining the link: no fragment is sent until nothing is
+/// under way, and the next one is then alone.
+///
 /// \code
 /// scheduler.Add(id, {peer, bytes, priority, deadline});
 /// while (auto fragment = scheduler.Next(now)) { Send(*fragment); }
--- a/runtime/include/figlug/runtime/impl/fragment_sender.h
+++ b/runtime/include/figlug/runtime/impl/fragment_sender.h
@@ -23,8 +23,8 @@
 struct FragmentHandlers {
   /// Writes a frame to a peer's connection at once.
   std::function<void(core::LinkPeerId, const wire::Frame&)> m_write;
-  /// Called for an attempt whose frame is not sent, or not to its end, because
-  /// it would arrive too late.
+  /// Called for an attempt whose frame, a request or an answer, is not sent to
+  /// its end because it would arrive too late. Must not send large frames.
   std::function<void(core::LinkPeerId, core::AttemptId)> m_on_expired;
 };
 
