--- a/review/12/run.sh
+++ /dev/null
@@ -1,7 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
-# run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-program=target/review-3/cold_start
-[ -x "$program" ] && [ -x target/platform/figlugd-platform ] || exit 2
-exec "$program" review/12/record.txt
