--- a/review/common-3/tests/changed_path.cc
+++ b/review/common-3/tests/changed_path.cc
@@ -1,4 +1,4 @@
-// Case 11: a request whose first line arrives in two parts is run with another
+// Case 12: a request whose first line arrives in two parts is run with another
 // path or query than its client sent.
 
 #include "lab.h"
