--- a/review/common-3/tests/lab.h
+++ b/review/common-3/tests/lab.h
@@ -26,6 +26,7 @@
 #include <cstring>
 #include <ctime>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -560,13 +561,23 @@
     m_beats.join();
   }
 
- private:
   struct Hold {
     std::uint32_t m_first = 0;
     std::uint32_t m_last = 0;
     std::uint64_t m_fence = 0;
     Clock::time_point m_until;
   };
+  /// What the endpoint holds now.
+  [[nodiscard]] std::vector<Hold> Held() {
+    const std::lock_guard lock(m_mutex);
+    std::vector<Hold> held = m_holds;
+    std::erase_if(held,
+                  [](const Hold& hold) { return hold.m_until < Clock::now(); });
+    return held;
+  }
+  [[nodiscard]] const std::string& id() const { return m_id; }
+
+ private:
   static constexpr double kHeartbeatMs = 870;
 
   std::optional<std::string> On(const Message& request) {
@@ -868,13 +879,19 @@
 class Folder {
  public:
   Folder() {
-    char path[] = "/tmp/figlug-review-XXXXXX";
-    m_path = mkdtemp(path);
+    std::string path =
+        (std::filesystem::temp_directory_path() / "figlug-review-XXXXXX")
+            .string();
+    if (mkdtemp(path.data()) == nullptr) {
+      std::printf("no temporary folder\n");
+      std::exit(kExitNotRun);
+    }
+    m_path = path;
   }
   ~Folder() {
     if (std::getenv("KEEP") == nullptr) {
-      const int ignored = std::system(("rm -rf " + m_path).c_str());
-      static_cast<void>(ignored);
+      std::error_code ignored;
+      std::filesystem::remove_all(m_path, ignored);
     }
   }
   [[nodiscard]] const std::string& path() const { return m_path; }
